--- /dev/null
+++ b/lapiswing/__init__.py
@@ -0,0 +1,1 @@
+"""lapiswing: a router for language-model servers that read and write in two stages."""
--- /dev/null
+++ b/lapiswing/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The bench's wire on standard input and output."""
--- /dev/null
+++ b/lapiswing/policy.py
@@ -0,0 +1,637 @@
+"""All decisions of lapiswing. A host calls Router(seed, settings, now_us) once and then
+router.round(now_us, events, out) each round; events, codes and the writer are in lapiswing/interface.py.
+The ordinary path is the pair table and shares of docs/design.md; the rest guards it when things fail."""
+from bisect import bisect_left
+from collections import deque
+from zlib import crc32
+
+MS = 1000
+REFRESH_US = 250 * MS  # how often scores are made anew and shares move
+MOVES = 4  # moves of share from worst to best pair at each refresh
+STEP = 0.02  # share of all reqs that one move shifts at the most
+FLOOR = 0.004  # least share of a pair, so that it is met again
+NEAR = 0.5  # shares above this part of the best are near it
+HALVE_EVERY = 8  # refreshes between two halvings of the histograms
+EDGES = [e * MS for e in (15, 25, 40, 60, 90, 130, 190, 270, 390, 560, 800, 1150, 1650, 2400, 3500, 5000)]
+MIDDLES = [10 * MS] + [(a + b) // 2 for a, b in zip(EDGES, EDGES[1:])] + [8000 * MS]
+PRIOR = 2.0  # outcomes' worth of the fleet's average in each server's histogram
+FAILURES = ("error", "reset", "unreachable", "timed_out")
+NEVER_RAN = ("full", "unreachable", "moot", "read")
+
+
+class Histogram:
+    """A few coarse bins of durations, halved now and then."""
+    __slots__ = ("bins", "total")
+
+    def __init__(self):
+        self.bins, self.total = [0.0] * len(MIDDLES), 0.0
+
+    def add(self, us, weight=1.0):
+        self.bins[bisect_left(EDGES, us)] += weight
+        self.total += weight
+
+    def halve(self):
+        self.bins, self.total = [b / 2 for b in self.bins], self.total / 2
+
+    def mean(self):
+        return sum(b * m for b, m in zip(self.bins, MIDDLES)) / self.total if self.total else 0.0
+
+
+class Machine:
+    """What this router knows of one server."""
+    __slots__ = ("id", "zone", "cell", "kind", "size", "mode", "reads", "writes", "started_us", "latency", "wait",
+                 "out_tokens", "stream_tokens", "streams", "cost", "pace", "waiting", "heard_us", "bad",
+                 "suspect", "trial_us", "sends", "kept", "report", "cold", "busy_us")
+
+    def __init__(self, row, roles):
+        self.id, self.bad, self.suspect, self.trial_us, self.cold = row.id, 0.0, False, 0, False
+        self.latency, self.wait = Histogram(), Histogram()
+        self.out_tokens = self.stream_tokens = self.streams = 0
+        self.cost = self.pace = 0.0
+        self.waiting, self.heard_us, self.busy_us = {}, 0, 0
+        self.sends, self.kept, self.report = deque(), {}, None
+        self.listed(row, roles)
+
+    def listed(self, row, roles):
+        self.zone, self.cell, self.kind, self.size, self.mode = row.zone, row.cell, row.kind, row.size, row.mode
+        self.started_us = row.started_us
+        role = roles[row.kind] if row.kind < len(roles) else "both"
+        self.reads, self.writes = role in ("read", "both"), role in ("write", "both")
+
+
+class Req:
+    __slots__ = ("id", "group", "tenant", "tokens", "fresh", "arrived", "expires", "target", "session", "prefix",
+                 "prefix_tokens", "forwards", "out", "holder", "begun", "closed", "over", "tried", "begun_us",
+                 "ran")
+
+    def __init__(self, rid, group, tenant, tokens, now, expires, target, session, prefix, prefix_tokens):
+        self.id, self.group, self.tenant, self.tokens = rid, group, tenant, tokens
+        self.arrived, self.expires, self.target = now, expires, target
+        self.session, self.prefix, self.prefix_tokens = session, prefix, prefix_tokens
+        self.forwards, self.out, self.holder, self.begun, self.closed = [], 0, None, None, False
+        self.over, self.tried, self.begun_us, self.ran, self.fresh = False, set(), 0, [], tokens
+
+
+class Router:
+    def __init__(self, seed, settings, now_us):
+        limits, rules, prices = settings["limits"], settings["rules"], settings["penalties"]
+        family, report = settings["family_info"], settings.get("report", {})
+        self.seed, self.draws, self.groups = seed, 0, settings["groups"]
+        self.gateways, self.zone = max(1, settings.get("balancers", 1)), settings.get("az", 0)
+        self.roles, self.most_forwards = family["duty_by_kind"], limits["max_attempts"]
+        self.memory = [max(1, m) / self.gateways for m in family["kind_memory_tokens"]]
+        self.far_price, self.cross_price = family.get("far_price", 0.0), prices.get("cross_zone", 0.0)
+        self.come_back_us = limits.get("max_retry_after_us", 0) if limits.get("retry_after") else 0
+        self.margin_us = settings.get("resolution_us", MS)
+        self.cold_from, self.ramp_us = rules["cold_from"], rules["ramp_time_us"]
+        self.cold_multiple, self.cold_window_us = rules["fall_multiple"], rules["overload_for_us"]
+        self.asks = settings.get("membership_mode") == "subscribe"
+        self.by_work = settings.get("worth_by") == "work"
+        self.over_worth = settings.get("over_share_worth", 1.0)
+        self.quota = [t.get("quota_rps", 0) / self.gateways for t in settings.get("tenants") or []]
+        self.quota_left = [2 * q for q in self.quota]
+        self.reports = report.get("how") == "inline"
+        self.machines, self.reqs, self.pairs, self.scores = {}, {}, {}, {}
+        self.readers, self.writers, self.share = [], [], {}
+        self.near = [[0.0] * 5 for _ in range(3)]  # sums for the transfer cost: same cell, same zone, other
+        self.transfer = [0.0] * 3
+        self.answer_us = [0.0] * len(self.groups)
+        self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
+        self.token_rate, self.read_tokens, self.ticks, self.asked_us = 0.0, 0, 0, 0
+        self.spare, self.shed, self.strain = 10.0, 0.0, 0.0
+        self.read_mean = self.wait_mean = 0.0
+        self.modes, self.started, self.now = {}, False, now_us
+
+    # ---- the round
+
+    def round(self, now_us, events, out):
+        self.now, self.out = now_us, out
+        if not self.started:
+            self.started = True
+            out.timer(REFRESH_US, 0)
+            if self.asks:
+                self.asked_us = now_us
+                out.watch(True)
+        for event in events:
+            getattr(self, "on_" + event[0])(*event[1:])
+
+    def mode(self, name, on, text):
+        if self.modes.get(name, False) != on:
+            self.modes[name] = on
+            self.out.log(f"{name} {'on' if on else 'off'}: {text}")
+
+    def chance(self):
+        self.draws += 1
+        return crc32(b"%d/%d" % (self.seed, self.draws)) / 4294967296.0
+
+    # ---- the list of servers
+
+    def on_servers(self, kind, rows):
+        if kind == "unavailable":
+            return
+        named = set()
+        for row in rows:
+            named.add(row.id)
+            machine = self.machines.get(row.id)
+            if machine is None:
+                machine = self.machines[row.id] = Machine(row, self.roles)
+            else:
+                if row.started_us != machine.started_us:
+                    self.forget(machine)
+                machine.listed(row, self.roles)
+        if kind != "update":
+            for machine in self.machines.values():
+                if machine.id not in named:
+                    machine.mode = "gone"
+        ready = [m for m in self.machines.values() if m.mode == "ready"]
+        self.readers = [m for m in ready if m.reads]
+        self.writers = [m for m in ready if m.writes]
+        self.level_pairs()
+
+    def forget(self, machine):
+        """A server that started anew has kept nothing, and its old troubles are over."""
+        machine.kept, machine.bad, machine.suspect, machine.report = {}, 0.0, False, None
+        machine.latency, machine.wait = Histogram(), Histogram()
+
+    def level_pairs(self):
+        """New pairs come in at the mean share; those that left give theirs up."""
+        wanted = [(r.id, w.id) for r in self.readers for w in ([r] if r.writes else self.writers)]
+        old = {p: self.pairs[p] for p in wanted if p in self.pairs}
+        mean = sum(old.values()) / len(old) if old else 1.0
+        weights = {}
+        for r in self.readers:  # equal for every reader, then for every writer in its row
+            row = [r] if r.writes else self.writers
+            for w in row:
+                weights[r.id, w.id] = old.get((r.id, w.id), mean if old else 1.0 / len(row))
+        total = sum(weights.values()) or 1.0
+        self.pairs = {p: v / total for p, v in weights.items()}
+        self.sum_shares()
+
+    def sum_shares(self):
+        self.share = {}
+        for (r, _), v in self.pairs.items():
+            self.share[r] = self.share.get(r, 0.0) + v
+
+    # ---- scores and shares
+
+    def on_timer(self, token):
+        if token != 0:
+            return
+        self.out.timer(REFRESH_US, 0)
+        self.ticks += 1
+        if self.asks and self.now - self.asked_us > 5000 * MS:
+            self.asked_us = self.now
+            self.out.watch(True)
+        self.spare = min(10.0, self.spare + 0.5)
+        rate = self.read_tokens / (REFRESH_US / 1e6)
+        self.token_rate += (rate - self.token_rate) * 0.2
+        self.read_tokens = 0
+        for i, q in enumerate(self.quota):
+            self.quota_left[i] = min(2 * q, self.quota_left[i] + q * REFRESH_US / 1e6)
+        self.refresh()
+        if self.ticks % HALVE_EVERY == 0:
+            for m in self.machines.values():
+                m.latency.halve()
+                m.wait.halve()
+            for sums in self.near:
+                sums[:] = [s / 2 for s in sums]
+            for mix in self.mix:
+                mix[:] = [v / 2 for v in mix]
+
+    def refresh(self):
+        for i, (n, t, l, tl, tt) in enumerate(self.near):
+            spread = n * tt - t * t
+            if n > 4 and spread > 0:
+                slope = (n * tl - t * l) / spread
+                self.transfer[i] = max(0.0, min(slope, l / t))
+        read = self.with_waits(self.readers, False)
+        wait = self.with_waits(self.writers, True)
+        self.read_mean, self.wait_mean = self.mean_of(read), self.mean_of(wait)
+        total = sum(m[0] for m in self.mix) or 1.0
+        groups = [(m[0] / total, m[1] / m[0], g) for m, g in zip(self.mix, self.groups) if m[0] > 0]
+        tokens = sum(m[1] for m in self.mix) / total
+        sums = {}
+        for w in self.writers:
+            run, cum = 0.0, []
+            for b in wait[w.id][0]:
+                run += b
+                cum.append(run)
+            sums[w.id] = cum
+        base = {}
+        for r in self.readers:
+            bins = read[r.id][0]
+            for w in ([r] if r.writes else self.writers):
+                near = 0 if r.cell == w.cell else 1 if r.zone == w.zone else 2
+                move = 0.0 if r is w else tokens * self.transfer[near]
+                value = 0.0
+                for part, mean, g in groups:
+                    left = g.target_us + g.target_per_1000_us * mean / 1000 - move
+                    value += part * self.attainment(bins, None if r is w else sums[w.id], left)
+                value = value if groups else 1.0
+                value *= 1.0 if not w.pace else min(1.0, 1.6 / w.pace) if w.pace > 1.6 else 1.0
+                cost = self.far_price * (near > 0)
+                cost += self.cross_price * ((r.zone != self.zone) + (w.zone != self.zone and r is not w))
+                base[r.id, w.id] = value * (1 - r.bad) * (1 - w.bad) - cost
+        self.move_shares(base)
+        self.look_for_silence()
+
+    def with_waits(self, machines, writing):
+        """Each server's bins as parts of 1, blended with the average; what is still out counts by its age
+        so far, so that a hung server's score falls before any outcome comes."""
+        average = [0.0] * len(MIDDLES)
+        for m in machines:
+            for i, b in enumerate((m.wait if writing else m.latency).bins):
+                average[i] += b
+        total = sum(average)
+        average = [a / total for a in average] if total else [1.0 / len(average)] * len(average)
+        out = {}
+        for m in machines:
+            own = m.wait if writing else m.latency
+            bins = [b + PRIOR * a for b, a in zip(own.bins, average)]
+            mean = sum(b * mid for b, mid in zip(bins, MIDDLES)) / (own.total + PRIOR)
+            for sent, wr in m.waiting.values():
+                if wr == writing and self.now - sent > mean:
+                    bins[bisect_left(EDGES, self.now - sent)] += 1
+            size = sum(bins)
+            bins = [b / size for b in bins]
+            out[m.id] = bins, sum(b * mid for b, mid in zip(bins, MIDDLES))
+        return out
+
+    @staticmethod
+    def mean_of(table):
+        return sum(v[1] for v in table.values()) / len(table) if table else 0.0
+
+    @staticmethod
+    def attainment(bins, cumulated, left):
+        value = 0.0
+        for part, middle in zip(bins, MIDDLES):
+            if part < 1e-4:
+                continue
+            slack = left - middle
+            if slack <= 0:
+                break
+            value += part * (1.0 if cumulated is None else cumulated[bisect_left(EDGES, slack)])
+        return value
+
+    def move_shares(self, base):
+        """Shares go from the worst pair to the best, each move counted at once as load to come."""
+        if len(base) < 2:
+            return
+        streams = sum(w.stream_tokens for w in self.writers)
+        readers = {r.id: r for r in self.readers}
+        writers = {w.id: w for w in self.writers}
+        read_share, write_share = dict.fromkeys(readers, 0.0), dict.fromkeys(writers, 0.0)
+        for (r, w), v in self.pairs.items():
+            read_share[r] += v
+            write_share[w] += v
+        work = {r: self.token_rate * self.gateways * m.cost / 1e6 for r, m in readers.items()}
+        held = {w: (m.stream_tokens / self.memory_of(m), streams / self.memory_of(m)) for w, m in writers.items()}
+
+        def score(pair):
+            r, w = pair
+            own = readers[r].out_tokens * readers[r].cost / (1000 * MS)
+            used = (held[w][0] + held[w][1] * write_share[w]) / 2
+            return base[pair] - 0.15 * (work[r] * read_share[r]) ** 2 - 0.1 * own - 0.4 * used * used
+
+        for _ in range(MOVES):
+            scores = {p: score(p) for p in base}
+            best = max(scores, key=lambda p: scores[p])
+            worst = min((p for p in scores if self.pairs[p] > FLOOR), key=lambda p: scores[p], default=best)
+            if worst == best or scores[best] - scores[worst] < 0.005:
+                break
+            step = min(STEP, self.pairs[worst] - FLOOR * 0.9)
+            for (r, w), sign in ((worst, -step), (best, step)):
+                self.pairs[r, w] += sign
+                read_share[r] += sign
+                write_share[w] += sign
+        self.scores = scores
+        self.sum_shares()
+
+    def memory_of(self, machine):
+        return self.memory[machine.kind] if machine.kind < len(self.memory) else self.memory[-1]
+
+    # ---- health
+
+    def look_for_silence(self):
+        suspects = 0
+        for m in self.machines.values():
+            if m.waiting:
+                sent, writing = next(iter(m.waiting.values()))
+                quiet = self.now - max(sent, m.heard_us)
+                usual = self.wait_mean if writing else self.read_mean
+                if quiet > max(500 * MS, 4 * usual) and not m.suspect:
+                    self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
+            suspects += m.suspect and m.mode == "ready"
+        ready = len(self.readers) + len(self.writers)
+        self.mode("trouble in common", ready > 0 and suspects * 2 > ready, f"{suspects} suspects of {ready}")
+
+    def mark(self, m, by, why):
+        m.bad += (1 - m.bad) * by
+        if m.bad > 0.5:
+            m.trial_us = self.now + 1000 * MS
+            if not m.suspect:
+                m.suspect = True
+                self.out.log(f"suspect {m.id} on: {why}, bad {m.bad:.2f}")
+
+    def good(self, m):
+        m.bad *= 0.75
+        if m.suspect and m.bad < 0.3:
+            m.suspect = False
+            self.out.log(f"suspect {m.id} off: bad {m.bad:.2f}")
+
+    def usable(self, m, req):
+        if m.mode != "ready" or m.id in req.tried or not self.cold_allows(m):
+            return False
+        if m.suspect and not self.modes.get("trouble in common"):
+            return self.now >= m.trial_us and not m.waiting and len(req.forwards) < 2
+        return True
+
+    def cold_allows(self, m):
+        """This router's part of what a just-started server may be sent, against what warm ones of its kind get."""
+        age = self.now - m.started_us
+        cold = m.started_us > 0 and age < self.ramp_us * 1.2
+        if m.cold != cold:
+            m.cold = cold
+        if not cold:
+            return True
+        since = self.now - self.cold_window_us
+        while m.sends and m.sends[0] < since:
+            m.sends.popleft()
+        warm = [len(o.sends) for o in self.machines.values()
+                if o.kind == m.kind and o.mode == "ready" and o is not m and not o.cold]
+        mean = sum(warm) / len(warm) if warm else 0.0
+        level = self.cold_from + (1 - self.cold_from) * max(0.0, age / (self.ramp_us * 1.2))
+        return len(m.sends) < max(1.0, mean * min(1.0, self.cold_multiple * level * 0.5))
+
+    # ---- a req comes in
+
+    def on_req(self, rid, tokens, expires, session, prefix, prefix_tokens, most_out, hint, bits, tenant, group):
+        g = self.groups[group]
+        target = self.now + g.target_us + g.target_per_1000_us * tokens // 1000
+        req = Req(rid, group, tenant or 0, tokens, self.now, expires, target, session, prefix, prefix_tokens or 0)
+        self.reqs[rid] = req
+        self.mix[group][0] += 1
+        self.mix[group][1] += tokens
+        if self.quota and req.tenant < len(self.quota):
+            self.quota_left[req.tenant] -= 1
+            if self.quota_left[req.tenant] < 0:
+                self.quota_left[req.tenant] = max(-self.quota[req.tenant], self.quota_left[req.tenant])
+                req.over = True
+        if self.now + self.margin_us >= expires:
+            return self.give_up(req)
+        self.read(req)
+
+    def read(self, req):
+        if len(req.forwards) >= self.most_forwards - 1:
+            return self.give_up(req)
+        reader = self.choose_reader(req)
+        if reader is None:
+            return self.give_up(req)
+        kept = reader.kept
+        known = kept.pop(req.session, 0) if req.session is not None else 0
+        if req.prefix is not None:
+            if kept.pop(req.prefix, 0):
+                known = max(known, req.prefix_tokens)
+            kept[req.prefix] = req.prefix_tokens
+        if req.session is not None:
+            kept[req.session] = req.tokens
+        while len(kept) > 2000:
+            del kept[next(iter(kept))]
+        req.fresh = max(1, req.tokens - known)
+        self.read_tokens += req.fresh
+        usual = max(4 * self.read_mean, (req.target - req.arrived) * 0.5)
+        self.send(req, reader, "direct" if reader.writes else "read", usual)
+
+    def choose_reader(self, req):
+        usable = [r for r in self.readers if self.usable(r, req)]
+        if not usable:
+            return None
+        drawn = self.draw([(r, self.share.get(r.id, 0.0) + (0.05 if r.suspect else 0.0)) for r in usable])
+        if drawn.suspect:
+            return drawn
+        best = max(self.share.get(r.id, 0.0) for r in usable)
+        load = {r.id: r.out_tokens * r.cost for r in usable}
+        least = min(load.values())
+        allowed = least + (req.target - req.arrived) / 8
+        near = [r for r in usable
+                if self.share.get(r.id, 0.0) >= NEAR * best and load[r.id] <= allowed and not r.suspect]
+        if not near:
+            return drawn
+        if drawn not in near and load[drawn.id] <= allowed:
+            return drawn
+        key = req.prefix if req.prefix is not None else req.session
+        if key is None:
+            return min(near, key=lambda r: load[r.id])
+        return max(near, key=lambda r: crc32(f"{key}/{r.id}".encode()))
+
+    def draw(self, weighted):
+        total = sum(w for _, w in weighted)
+        point = self.chance() * total
+        for item, weight in weighted:
+            point -= weight
+            if point < 0:
+                return item
+        return weighted[-1][0]
+
+    # ---- the second stage
+
+    def write(self, req):
+        writer = None
+        if len(req.forwards) < self.most_forwards:
+            writer = self.choose_writer(req)
+        if writer is None:
+            return self.give_up(req)
+        usual = max(4 * self.wait_mean, (req.target - req.arrived) * 0.5)
+        self.send(req, writer, "write", usual)
+
+    def choose_writer(self, req):
+        usable = [w for w in self.writers if self.usable(w, req) and self.may_forward(req, w)]
+        if not usable:
+            return None
+        row = [(w, self.pairs.get((req.holder.id, w.id), FLOOR)) for w in usable]
+        drawn = self.draw(row)
+        best = max(v for _, v in row)
+        near = [w for w, v in row if v >= NEAR * best and not w.suspect]
+        if drawn not in near:
+            return drawn
+        return min(near, key=lambda w: (w.stream_tokens / self.memory_of(w), w.id))
+
+    def may_forward(self, req, machine):
+        """Effects: whether a repeat at this server can do no harm."""
+        g = self.groups[req.group]
+        if g.effect == "replayable" or not req.ran:
+            return True
+        if g.effect != "keyed":
+            return False
+        for first, sent in req.ran:
+            if g.repeat_scope == "zone" and first.zone != machine.zone:
+                return False
+            if g.repeat_scope == "cell" and first.cell != machine.cell:
+                return False
+            if self.now - sent > g.repeat_window_us - 50 * MS:
+                return False
+        return True
+
+    def may_push_back(self, req):
+        g = self.groups[req.group]
+        return g.effect == "replayable" or not req.ran or (g.effect == "keyed" and g.repeat_scope == "all")
+
+    def send(self, req, machine, stage, usual):
+        left = req.expires - self.now - self.margin_us
+        timeout = left
+        if self.spare >= 1 and len(req.forwards) + 2 < self.most_forwards and usual < left * 0.7:
+            timeout = int(usual)
+        number = len(req.forwards)
+        req.forwards.append([machine, stage, self.now, True, req.fresh])
+        req.out += 1
+        if stage != "read":
+            req.ran.append((machine, self.now))
+            machine.stream_tokens += req.tokens
+            machine.streams += 1
+        if stage != "write":
+            machine.out_tokens += req.fresh
+        machine.waiting[req.id, number] = (self.now, stage == "write")
+        machine.sends.append(self.now)
+        since = self.now - self.cold_window_us
+        while machine.sends[0] < since:
+            machine.sends.popleft()
+        if machine.suspect:
+            machine.trial_us = self.now + 1000 * MS
+        self.out.forward(req.id, machine.id, max(MS, timeout))
+
+    def give_up(self, req):
+        """The final answer at once, and whatever is held let go."""
+        if req.closed:
+            return
+        req.closed = True
+        if req.holder is not None:
+            self.out.release(req.id)
+            req.holder = None
+        if self.may_push_back(req):
+            self.out.push_back(req.id, self.come_back_us)
+        else:
+            self.out.abort(req.id)
+        if not req.out:
+            self.reqs.pop(req.id, None)
+
+    # ---- what comes back
+
+    def on_first(self, rid, server, latency, number):
+        req = self.reqs.get(rid)
+        if req is None or number >= len(req.forwards):
+            return
+        machine, stage, sent, _, fresh = req.forwards[number]
+        machine.waiting.pop((rid, number), None)
+        machine.heard_us = self.now
+        req.begun, req.begun_us = number, self.now
+        self.good(machine)
+        if stage == "write" and req.holder is not None:
+            near = 0 if req.holder.cell == machine.cell else 1 if req.holder.zone == machine.zone else 2
+            for i, v in enumerate((1, req.tokens, latency, req.tokens * latency, req.tokens * req.tokens)):
+                self.near[near][i] += v
+            machine.wait.add(max(0, latency - req.tokens * self.transfer[near]))
+        elif stage == "direct":
+            machine.latency.add(latency)
+            self.learn_cost(machine, latency, fresh)
+            machine.out_tokens -= fresh
+            req.forwards[number][4] = 0
+        req.holder = None
+
+    def learn_cost(self, machine, latency, fresh):
+        """Microseconds for each token that was ahead of and in this read."""
+        cost = latency / max(500, machine.out_tokens)
+        machine.cost += (cost - machine.cost) * (0.15 if machine.cost else 1.0)
+
+    def on_outcome(self, rid, number, server, code, latency, ended, remark, report):
+        machine = self.machines.get(server)
+        if machine is not None and report:
+            machine.report = report
+        req = self.reqs.get(rid)
+        if req is None or number >= len(req.forwards) or not req.forwards[number][3]:
+            return
+        forward = req.forwards[number]
+        machine, stage, sent, _, fresh = forward
+        forward[3] = False
+        req.out -= 1
+        machine.waiting.pop((rid, number), None)
+        if stage != "read":
+            machine.stream_tokens -= req.tokens
+            machine.streams -= 1
+            if code in NEVER_RAN:
+                req.ran = [r for r in req.ran if r != (machine, sent)]
+        if stage != "write":
+            if code == "read":
+                machine.latency.add(latency)
+                self.learn_cost(machine, latency, fresh)
+            machine.out_tokens -= forward[4]
+        if code not in ("timed_out", "cancelled", "moot"):
+            machine.heard_us = self.now
+        if code in FAILURES:
+            self.mark(machine, 0.6 if code == "unreachable" else 0.3, f"{code} after {latency // MS} ms")
+            if code == "timed_out":
+                (machine.wait if stage == "write" else machine.latency).add(latency)
+        elif code in ("done", "read"):
+            self.good(machine)
+        if code == "done" and req.begun == number:
+            self.learn_pace(machine, req)
+        if ended:
+            req.closed = True
+        if req.closed:
+            if code == "read" or req.holder is not None:
+                self.out.release(rid)
+                req.holder = None
+            if not req.out:
+                del self.reqs[rid]
+            return
+        self.next_step(req, machine, stage, code, remark)
+
+    def learn_pace(self, machine, req):
+        took = self.now - req.begun_us
+        usual = self.answer_us[req.group]
+        self.answer_us[req.group] += (took - usual) * (0.05 if usual else 1.0)
+        if usual:
+            machine.pace += (took / usual - machine.pace) * 0.1 if machine.pace else 1.0
+
+    def next_step(self, req, machine, stage, code, remark):
+        if req.out:
+            return
+        if code == "read":
+            req.holder = machine
+            return self.write(req)
+        if code == "moot" or req.begun is not None:
+            return self.give_up(req)
+        if self.now + self.margin_us >= req.expires:
+            return self.give_up(req)
+        if code == "full" and stage == "write" and remark == 1:
+            req.holder = None
+        else:
+            req.tried.add(machine.id)
+        self.spare -= 1
+        if self.spare < 0:
+            self.spare = 0.0
+            return self.give_up(req)
+        if req.holder is not None:
+            return self.write(req)
+        if req.ran and self.groups[req.group].effect == "non-replayable":
+            return self.give_up(req)
+        self.read(req)
+
+    def on_client_left(self, rid):
+        req = self.reqs.get(rid)
+        if req is None:
+            return
+        req.closed = True
+        if req.holder is not None and not req.out:
+            self.out.release(rid)
+            req.holder = None
+        if not req.out:
+            del self.reqs[rid]
+
+    def on_place(self, rid, server, number, held):
+        pass
+
+    def on_probed(self, server, code, latency, report):
+        pass
+
+    def on_peer(self, sender, payload):
+        pass
