Time-outs only at the client's end; silence re-routes reads; cold budget from served work

Cause: short time-outs and the suspicion they raised took servers out under load, and the rest jammed. Kept: jams are fewer; the long ones are not answered yet.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -41,7 +41,8 @@
     """What this router knows of one server."""
     __slots__ = ("id", "zone", "cell", "kind", "size", "mode", "reads", "writes", "started_us", "latency", "wait",
                  "out_tokens", "stream_tokens", "streams", "cost", "pace", "waiting", "heard_us", "bad",
-                 "suspect", "trial_us", "sends", "kept", "report", "cold", "busy_us")
+                 "suspect", "trial_us", "sends", "kept", "report", "cold", "busy_us", "taken",
+                 "took")
 
     def __init__(self, row, roles):
         self.id, self.bad, self.suspect, self.trial_us, self.cold = row.id, 0.0, False, 0, False
@@ -49,6 +50,7 @@
         self.out_tokens = self.stream_tokens = self.streams = 0
         self.cost = self.pace = 0.0
         self.waiting, self.heard_us, self.busy_us = {}, 0, 0
+        self.taken, self.took = 0, 0.0  # served since the last refresh, and a second on average
         self.sends, self.kept, self.report = deque(), {}, None
         self.listed(row, roles)
 
@@ -188,6 +190,9 @@
         self.read_tokens = 0
         for i, q in enumerate(self.quota):
             self.quota_left[i] = min(2 * q, self.quota_left[i] + q * REFRESH_US / 1e6)
+        for m in self.machines.values():
+            m.took += (m.taken / (REFRESH_US / 1e6) - m.took) * 0.1
+            m.taken = 0
         self.refresh()
         if self.ticks % HALVE_EVERY == 0:
             for m in self.machines.values():
@@ -319,12 +324,21 @@
                 sent, writing = next(iter(m.waiting.values()))
                 quiet = self.now - max(sent, m.heard_us)
                 usual = self.wait_mean if writing else self.read_mean
-                if quiet > max(500 * MS, 4 * usual) and not m.suspect:
-                    self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
+                if quiet > max(600 * MS, 5 * usual + 2 * m.out_tokens * m.cost):
+                    if not m.suspect:
+                        self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
+                    self.take_back(m)
             suspects += m.suspect and m.mode == "ready"
         ready = len(self.readers) + len(self.writers)
         self.mode("trouble in common", ready > 0 and suspects * 2 > ready, f"{suspects} suspects of {ready}")
 
+    def take_back(self, m):
+        """Reads have no effect, so those out at a silent server are read again elsewhere."""
+        for (rid, number), (_, writing) in list(m.waiting.items()):
+            req = self.reqs[rid]
+            if not writing and not req.closed and self.spare >= 1 and req.forwards[number][1] == "read":
+                self.out.retract(rid, number)
+
     def mark(self, m, by, why):
         m.bad += (1 - m.bad) * by
         if m.bad > 0.5:
@@ -340,7 +354,7 @@
             self.out.log(f"suspect {m.id} off: bad {m.bad:.2f}")
 
     def usable(self, m, req):
-        if m.mode != "ready" or m.id in req.tried or not self.cold_allows(m):
+        if m.mode != "ready" or m.id in req.tried or m.busy_us > self.now or not self.cold_allows(m):
             return False
         if m.suspect and not self.modes.get("trouble in common"):
             return self.now >= m.trial_us and not m.waiting and len(req.forwards) < 2
@@ -357,9 +371,9 @@
         since = self.now - self.cold_window_us
         while m.sends and m.sends[0] < since:
             m.sends.popleft()
-        warm = [len(o.sends) for o in self.machines.values()
+        warm = [o.took for o in self.machines.values()
                 if o.kind == m.kind and o.mode == "ready" and o is not m and not o.cold]
-        mean = sum(warm) / len(warm) if warm else 0.0
+        mean = sum(warm) / len(warm) * self.cold_window_us / 1e6 if warm else 0.0
         level = self.cold_from + (1 - self.cold_from) * max(0.0, age / (self.ramp_us * 1.2))
         return len(m.sends) < max(1.0, mean * min(1.0, self.cold_multiple * level * 0.5))
 
@@ -399,8 +413,7 @@
             del kept[next(iter(kept))]
         req.fresh = max(1, req.tokens - known)
         self.read_tokens += req.fresh
-        usual = max(4 * self.read_mean, (req.target - req.arrived) * 0.5)
-        self.send(req, reader, "direct" if reader.writes else "read", usual)
+        self.send(req, reader, "direct" if reader.writes else "read")
 
     def choose_reader(self, req):
         usable = [r for r in self.readers if self.usable(r, req)]
@@ -441,8 +454,7 @@
             writer = self.choose_writer(req)
         if writer is None:
             return self.give_up(req)
-        usual = max(4 * self.wait_mean, (req.target - req.arrived) * 0.5)
-        self.send(req, writer, "write", usual)
+        self.send(req, writer, "write")
 
     def choose_writer(self, req):
         usable = [w for w in self.writers if self.usable(w, req) and self.may_forward(req, w)]
@@ -476,11 +488,8 @@
         g = self.groups[req.group]
         return g.effect == "replayable" or not req.ran or (g.effect == "keyed" and g.repeat_scope == "all")
 
-    def send(self, req, machine, stage, usual):
-        left = req.expires - self.now - self.margin_us
-        timeout = left
-        if self.spare >= 1 and len(req.forwards) + 2 < self.most_forwards and usual < left * 0.7:
-            timeout = int(usual)
+    def send(self, req, machine, stage):
+        timeout = req.expires - self.now - self.margin_us
         number = len(req.forwards)
         req.forwards.append([machine, stage, self.now, True, req.fresh])
         req.out += 1
@@ -523,6 +532,7 @@
         machine, stage, sent, _, fresh = req.forwards[number]
         machine.waiting.pop((rid, number), None)
         machine.heard_us = self.now
+        machine.taken += 1
         req.begun, req.begun_us = number, self.now
         self.good(machine)
         if stage == "write" and req.holder is not None:
@@ -566,12 +576,15 @@
             machine.out_tokens -= forward[4]
         if code not in ("timed_out", "cancelled", "moot"):
             machine.heard_us = self.now
+        machine.taken += code == "read"
         if code in FAILURES:
             self.mark(machine, 0.6 if code == "unreachable" else 0.3, f"{code} after {latency // MS} ms")
             if code == "timed_out":
                 (machine.wait if stage == "write" else machine.latency).add(latency)
         elif code in ("done", "read"):
             self.good(machine)
+        elif code == "full" and remark != 1:
+            machine.busy_us = self.now + 150 * MS
         if code == "done" and req.begun == number:
             self.learn_pace(machine, req)
         if ended:
