Sessions stay where their text is kept, reads spill by predicted end, late ones are shed

Cause: after kept texts were lost, reads jammed and balancing them cost the affinity that would have cleared the jam (suva big-2: kept part of a prompt 0.74 before, 0.3 long after, reads 80 ms to 4 s).

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -398,44 +398,56 @@
     def read(self, req):
         if len(req.forwards) >= self.most_forwards - 1:
             return self.give_up(req)
-        reader = self.choose_reader(req)
+        reader, ready_us = self.choose_reader(req)
         if reader is None:
             return self.give_up(req)
-        kept = reader.kept
-        known = kept.pop(req.session, 0) if req.session is not None else 0
-        if req.prefix is not None:
-            if kept.pop(req.prefix, 0):
-                known = max(known, req.prefix_tokens)
-            kept[req.prefix] = req.prefix_tokens
-        if req.session is not None:
-            kept[req.session] = req.tokens
+        allowed = (req.target - self.now) * (0.5 if req.over else 1.0)
+        late = ready_us + self.wait_mean > allowed
+        self.mode("shedding", late, f"read by {ready_us / MS:.0f} ms, allowed {allowed / MS:.0f}")
+        if late and self.may_push_back(req):
+            return self.give_up(req, int(ready_us - allowed / 2))
+        kept, known = reader.kept, self.known(req, reader)
+        for key, tokens in ((req.prefix, req.prefix_tokens), (req.session, req.tokens)):
+            if key is not None:
+                kept.pop(key, None)
+                kept[key] = tokens
         while len(kept) > 2000:
             del kept[next(iter(kept))]
         req.fresh = max(1, req.tokens - known)
         self.read_tokens += req.fresh
         self.send(req, reader, "direct" if reader.writes else "read")
 
+    @staticmethod
+    def known(req, reader):
+        """Prompt tokens that this reader should still have kept, as far as this router knows."""
+        return max(reader.kept.get(req.session, 0), req.prefix_tokens if req.prefix in reader.kept else 0)
+
     def choose_reader(self, req):
+        """The reader, and in what time its read should end."""
         usable = [r for r in self.readers if self.usable(r, req)]
         if not usable:
-            return None
+            return None, 0
         drawn = self.draw([(r, self.share.get(r.id, 0.0) + (0.05 if r.suspect else 0.0)) for r in usable])
+        mean = sum(r.cost for r in usable) / len(usable)
+        ends = {r.id: (r.out_tokens + req.tokens - self.known(req, r)) * (r.cost or mean) for r in usable}
         if drawn.suspect:
-            return drawn
+            return drawn, ends[drawn.id]
+        allowed = max(0.4 * (req.target - req.arrived), min(ends.values()) * 1.1)
         best = max(self.share.get(r.id, 0.0) for r in usable)
-        load = {r.id: r.out_tokens * r.cost for r in usable}
-        least = min(load.values())
-        allowed = least + (req.target - req.arrived) / 8
-        near = [r for r in usable
-                if self.share.get(r.id, 0.0) >= NEAR * best and load[r.id] <= allowed and not r.suspect]
-        if not near:
-            return drawn
-        if drawn not in near and load[drawn.id] <= allowed:
-            return drawn
+        fit = [r for r in usable if ends[r.id] <= allowed and not r.suspect]
+        near = [r for r in fit if self.share.get(r.id, 0.0) >= NEAR * best]
+        home = max(fit, key=lambda r: r.kept.get(req.session, 0), default=None)
         key = req.prefix if req.prefix is not None else req.session
-        if key is None:
-            return min(near, key=lambda r: load[r.id])
-        return max(near, key=lambda r: crc32(f"{key}/{r.id}".encode()))
+        if home is not None and req.session in home.kept:
+            drawn = home
+        elif near and (drawn in near or drawn not in fit):
+            if key is None:
+                drawn = min(near, key=lambda r: ends[r.id])
+            else:
+                drawn = max(near, key=lambda r: crc32(f"{key}/{r.id}".encode()))
+        elif drawn not in fit and fit:
+            drawn = min(fit, key=lambda r: ends[r.id])
+        return drawn, ends[drawn.id]
 
     def draw(self, weighted):
         total = sum(w for _, w in weighted)
@@ -491,7 +503,8 @@
     def send(self, req, machine, stage):
         timeout = req.expires - self.now - self.margin_us
         number = len(req.forwards)
-        req.forwards.append([machine, stage, self.now, True, req.fresh])
+        ahead = machine.out_tokens + req.fresh if stage != "write" else 0
+        req.forwards.append([machine, stage, self.now, True, req.fresh, ahead])
         req.out += 1
         if stage != "read":
             req.ran.append((machine, self.now))
@@ -508,7 +521,7 @@
             machine.trial_us = self.now + 1000 * MS
         self.out.forward(req.id, machine.id, max(MS, timeout))
 
-    def give_up(self, req):
+    def give_up(self, req, come_back_us=None):
         """The final answer at once, and whatever is held let go."""
         if req.closed:
             return
@@ -517,7 +530,9 @@
             self.out.release(req.id)
             req.holder = None
         if self.may_push_back(req):
-            self.out.push_back(req.id, self.come_back_us)
+            if come_back_us is None:
+                come_back_us = self.come_back_us
+            self.out.push_back(req.id, max(0, min(come_back_us, self.come_back_us)))
         else:
             self.out.abort(req.id)
         if not req.out:
@@ -529,7 +544,7 @@
         req = self.reqs.get(rid)
         if req is None or number >= len(req.forwards):
             return
-        machine, stage, sent, _, fresh = req.forwards[number]
+        machine, stage, sent, _, fresh, ahead = req.forwards[number]
         machine.waiting.pop((rid, number), None)
         machine.heard_us = self.now
         machine.taken += 1
@@ -542,14 +557,14 @@
             machine.wait.add(max(0, latency - req.tokens * self.transfer[near]))
         elif stage == "direct":
             machine.latency.add(latency)
-            self.learn_cost(machine, latency, fresh)
+            self.learn_cost(machine, latency, ahead)
             machine.out_tokens -= fresh
             req.forwards[number][4] = 0
         req.holder = None
 
-    def learn_cost(self, machine, latency, fresh):
+    def learn_cost(self, machine, latency, ahead):
         """Microseconds for each token that was ahead of and in this read."""
-        cost = latency / max(500, machine.out_tokens)
+        cost = latency / max(500, ahead)
         machine.cost += (cost - machine.cost) * (0.15 if machine.cost else 1.0)
 
     def on_outcome(self, rid, number, server, code, latency, ended, remark, report):
@@ -560,7 +575,7 @@
         if req is None or number >= len(req.forwards) or not req.forwards[number][3]:
             return
         forward = req.forwards[number]
-        machine, stage, sent, _, fresh = forward
+        machine, stage, sent, _, fresh, ahead = forward
         forward[3] = False
         req.out -= 1
         machine.waiting.pop((rid, number), None)
@@ -572,7 +587,10 @@
         if stage != "write":
             if code == "read":
                 machine.latency.add(latency)
-                self.learn_cost(machine, latency, fresh)
+                if (remark or 0) < (req.tokens - fresh) / 2:
+                    machine.kept.clear()
+                    ahead += req.tokens - (remark or 0) - fresh
+                self.learn_cost(machine, latency, ahead)
             machine.out_tokens -= forward[4]
         if code not in ("timed_out", "cancelled", "moot"):
             machine.heard_us = self.now
