--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -402,7 +402,9 @@
         if reader is None:
             return self.give_up(req)
         allowed = (req.target - self.now) * (0.5 if req.over else 1.0)
-        late = ready_us + self.wait_mean > allowed
+        # Never shed while the reader has none of this router's reads: else a cost once learnt too dear is
+        # never learnt again and all is refused for good.
+        late = ready_us + self.wait_mean > allowed and reader.out_tokens > 0
         self.mode("shedding", late, f"read by {ready_us / MS:.0f} ms, allowed {allowed / MS:.0f}")
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us - allowed / 2))
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -65,3 +65,15 @@
     for i in range(5):
         play.at(10 + i, play.req(i, prefix=None))
     assert {f[2] for f in play.sent()} == {"r1"}
+
+
+def test_shedding_cannot_lock_up():
+    """A cost learnt in a jam must not refuse everything once the jam is over."""
+    play = Play()
+    for m in play.router.readers:
+        m.cost = 1000.0
+    for i in range(4):
+        play.at(10 + i, play.req(i))
+    assert [line.split()[0] for line in play.out.lines if line[0] != "-" and "shed" not in line] == [
+        "forward", "forward", "push_back", "push_back"]
+    check("shedding_cannot_lock_up", play)
