--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -42,13 +42,14 @@
     __slots__ = ("id", "zone", "cell", "kind", "size", "mode", "reads", "writes", "started_us", "latency", "wait",
                  "out_tokens", "stream_tokens", "streams", "cost", "pace", "waiting", "heard_us", "bad",
                  "suspect", "trial_us", "sends", "kept", "report", "cold", "busy_us", "taken",
-                 "took")
+                 "took", "read_us", "read_tokens", "unbegun")
 
     def __init__(self, row, roles):
         self.id, self.bad, self.suspect, self.trial_us, self.cold = row.id, 0.0, False, 0, False
         self.latency, self.wait = Histogram(), Histogram()
         self.out_tokens = self.stream_tokens = self.streams = 0
-        self.cost = self.pace = 0.0
+        self.cost = self.pace = self.read_us = self.read_tokens = 0.0
+        self.unbegun = 0  # writes out whose answer has not begun
         self.waiting, self.heard_us, self.busy_us = {}, 0, 0
         self.taken, self.took = 0, 0.0  # served since the last refresh, and a second on average
         self.sends, self.kept, self.report = deque(), {}, None
@@ -402,12 +403,13 @@
         if reader is None:
             return self.give_up(req)
         allowed = (req.target - self.now) * (0.5 if req.over else 1.0)
-        # Never shed while the reader has none of this router's reads: else a cost once learnt too dear is
-        # never learnt again and all is refused for good.
-        late = ready_us + self.wait_mean > allowed and reader.out_tokens > 0
-        self.mode("shedding", late, f"read by {ready_us / MS:.0f} ms, allowed {allowed / MS:.0f}")
+        # Never shed while the stage in question has nothing of this router's waiting: else what was learnt in
+        # a jam is never learnt again and all is refused for good.
+        wait = self.wait_mean if all(w.unbegun for w in self.writers) else 0.0
+        late = ready_us + wait > allowed and (reader.out_tokens > 0 or wait > allowed / 2)
+        self.mode("shedding", late, f"read in {ready_us / MS:.0f} ms, wait {wait / MS:.0f}, allowed {allowed / MS:.0f}")
         if late and self.may_push_back(req):
-            return self.give_up(req, int(ready_us - allowed / 2))
+            return self.give_up(req, int(ready_us + wait - allowed / 2))
         kept, known = reader.kept, self.known(req, reader)
         for key, tokens in ((req.prefix, req.prefix_tokens), (req.session, req.tokens)):
             if key is not None:
@@ -431,7 +433,8 @@
             return None, 0
         drawn = self.draw([(r, self.share.get(r.id, 0.0) + (0.05 if r.suspect else 0.0)) for r in usable])
         mean = sum(r.cost for r in usable) / len(usable)
-        ends = {r.id: (r.out_tokens + req.tokens - self.known(req, r)) * (r.cost or mean) for r in usable}
+        ends = {r.id: max((r.out_tokens + req.tokens - self.known(req, r)) * (r.cost or mean), self.oldest(r))
+                for r in usable}
         if drawn.suspect:
             return drawn, ends[drawn.id]
         allowed = max(0.4 * (req.target - req.arrived), min(ends.values()) * 1.1)
@@ -451,6 +454,10 @@
             drawn = min(fit, key=lambda r: ends[r.id])
         return drawn, ends[drawn.id]
 
+    def oldest(self, m):
+        """How long the first of the forwards waiting at a server has been out."""
+        return self.now - next(iter(m.waiting.values()))[0] if m.waiting else 0
+
     def draw(self, weighted):
         total = sum(w for _, w in weighted)
         point = self.chance() * total
@@ -515,6 +522,7 @@
         if stage != "write":
             machine.out_tokens += req.fresh
         machine.waiting[req.id, number] = (self.now, stage == "write")
+        machine.unbegun += stage == "write"
         machine.sends.append(self.now)
         since = self.now - self.cold_window_us
         while machine.sends[0] < since:
@@ -547,7 +555,8 @@
         if req is None or number >= len(req.forwards):
             return
         machine, stage, sent, _, fresh, ahead = req.forwards[number]
-        machine.waiting.pop((rid, number), None)
+        if machine.waiting.pop((rid, number), None):
+            machine.unbegun -= stage == "write"
         machine.heard_us = self.now
         machine.taken += 1
         req.begun, req.begun_us = number, self.now
@@ -566,8 +575,9 @@
 
     def learn_cost(self, machine, latency, ahead):
         """Microseconds for each token that was ahead of and in this read."""
-        cost = latency / max(500, ahead)
-        machine.cost += (cost - machine.cost) * (0.15 if machine.cost else 1.0)
+        machine.read_us = machine.read_us * 0.85 + latency
+        machine.read_tokens = machine.read_tokens * 0.85 + max(200, ahead)
+        machine.cost = machine.read_us / machine.read_tokens
 
     def on_outcome(self, rid, number, server, code, latency, ended, remark, report):
         machine = self.machines.get(server)
@@ -580,7 +590,8 @@
         machine, stage, sent, _, fresh, ahead = forward
         forward[3] = False
         req.out -= 1
-        machine.waiting.pop((rid, number), None)
+        if machine.waiting.pop((rid, number), None):
+            machine.unbegun -= stage == "write"
         if stage != "read":
             machine.stream_tokens -= req.tokens
             machine.streams -= 1
