--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -406,7 +406,9 @@
         # Never shed while the stage in question has nothing of this router's waiting: else what was learnt in
         # a jam is never learnt again and all is refused for good.
         wait = self.wait_mean if all(w.unbegun for w in self.writers) else 0.0
-        late = ready_us + wait > allowed and (reader.out_tokens > 0 or wait > allowed / 2)
+        queue = ready_us - (req.tokens - self.known(req, reader)) * reader.cost + wait
+        late = ready_us + wait > allowed
+        late = late and (reader.out_tokens > 0 or wait > allowed / 2)
         self.mode("shedding", late, f"read in {ready_us / MS:.0f} ms, wait {wait / MS:.0f}, allowed {allowed / MS:.0f}")
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us + wait - allowed / 2))
@@ -601,7 +603,9 @@
             if code == "read":
                 machine.latency.add(latency)
                 if (remark or 0) < (req.tokens - fresh) / 2:
-                    machine.kept.clear()
+                    machine.kept.pop(req.session, None)
+                    if (remark or 0) < req.prefix_tokens / 2:
+                        machine.kept.pop(req.prefix, None)
                     ahead += req.tokens - (remark or 0) - fresh
                 self.learn_cost(machine, latency, ahead)
             machine.out_tokens -= forward[4]
