Hot prefixes are spread by session hash; the hash follows the shares

Cause: a session's turns come through any gateway, so only a hash that all gateways share finds its text again, while one reader drowned in a hot prefix.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -3,6 +3,7 @@
 The ordinary path is the pair table and shares of docs/design.md; the rest guards it when things fail."""
 from bisect import bisect_left
 from collections import deque
+from math import log
 from zlib import crc32
 
 MS = 1000
@@ -100,6 +101,7 @@
         self.transfer = [0.0] * 3
         self.answer_us = [0.0] * len(self.groups)
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
+        self.heat = {}  # reqs seen lately, by shared prefix
         self.token_rate, self.read_tokens, self.ticks, self.asked_us = 0.0, 0, 0, 0
         self.spare, self.shed, self.strain = 10.0, 0.0, 0.0
         self.read_mean = self.wait_mean = 0.0
@@ -201,6 +203,7 @@
                 m.wait.halve()
             for sums in self.near:
                 sums[:] = [s / 2 for s in sums]
+            self.heat = {key: n / 2 for key, n in self.heat.items() if n > 0.5}
             for mix in self.mix:
                 mix[:] = [v / 2 for v in mix]
 
@@ -386,6 +389,8 @@
         req = Req(rid, group, tenant or 0, tokens, self.now, expires, target, session, prefix, prefix_tokens or 0)
         self.reqs[rid] = req
         self.mix[group][0] += 1
+        if prefix is not None:
+            self.heat[prefix] = self.heat.get(prefix, 0) + 1
         self.mix[group][1] += tokens
         if self.quota and req.tenant < len(self.quota):
             self.quota_left[req.tenant] -= 1
@@ -445,13 +450,18 @@
         near = [r for r in fit if self.share.get(r.id, 0.0) >= NEAR * best]
         home = max(fit, key=lambda r: r.kept.get(req.session, 0), default=None)
         key = req.prefix if req.prefix is not None else req.session
+        # A prefix with more than half a reader's part of the reqs is kept everywhere soon; its sessions are
+        # spread by their own hash, which every gateway shares, and find their earlier turns again.
+        if self.heat.get(key, 0) * 2 * len(self.readers) > sum(m[0] for m in self.mix):
+            key = req.session
         if home is not None and req.session in home.kept:
             drawn = home
         elif near and (drawn in near or drawn not in fit):
             if key is None:
                 drawn = min(near, key=lambda r: ends[r.id])
             else:
-                drawn = max(near, key=lambda r: crc32(f"{key}/{r.id}".encode()))
+                drawn = min(near, key=lambda r: -log((crc32(f"{key}/{r.id}".encode()) + 1) / 4294967297)
+                            / self.share[r.id])
         elif drawn not in fit and fit:
             drawn = min(fit, key=lambda r: ends[r.id])
         return drawn, ends[drawn.id]
