--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -16,6 +16,7 @@
 EDGES = [e * MS for e in (15, 25, 40, 60, 90, 130, 190, 270, 390, 560, 800, 1150, 1650, 2400, 3500, 5000)]
 MIDDLES = [10 * MS] + [(a + b) // 2 for a, b in zip(EDGES, EDGES[1:])] + [8000 * MS]
 PRIOR = 2.0  # outcomes' worth of the fleet's average in each server's histogram
+COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 NEVER_RAN = ("full", "unreachable", "moot", "read")
 
@@ -101,6 +102,7 @@
         self.transfer = [0.0] * 3
         self.answer_us = [0.0] * len(self.groups)
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
+        self.kind_took = {}  # a second, by a warm server of the kind
         self.heat = {}  # reqs seen lately, by shared prefix
         self.token_rate, self.read_tokens, self.ticks, self.asked_us = 0.0, 0, 0, 0
         self.spare, self.shed, self.strain = 10.0, 0.0, 0.0
@@ -173,7 +175,7 @@
         self.sum_shares()
 
     def sum_shares(self):
-        self.share = {}
+        self.share = dict.fromkeys((r.id for r in self.readers), 0.0)
         for (r, _), v in self.pairs.items():
             self.share[r] = self.share.get(r, 0.0) + v
 
@@ -196,6 +198,10 @@
         for m in self.machines.values():
             m.took += (m.taken / (REFRESH_US / 1e6) - m.took) * 0.1
             m.taken = 0
+        for kind in range(len(self.roles)):  # remembered, for when all of a kind start at once
+            warm = [m.took for m in self.machines.values() if m.kind == kind and m.mode == "ready" and not m.cold]
+            mean = sum(warm) / len(warm) if warm else 0.0
+            self.kind_took[kind] = max(mean, self.kind_took.get(kind, 0.0) * 0.98)
         self.refresh()
         if self.ticks % HALVE_EVERY == 0:
             for m in self.machines.values():
@@ -375,11 +381,9 @@
         since = self.now - self.cold_window_us
         while m.sends and m.sends[0] < since:
             m.sends.popleft()
-        warm = [o.took for o in self.machines.values()
-                if o.kind == m.kind and o.mode == "ready" and o is not m and not o.cold]
-        mean = sum(warm) / len(warm) * self.cold_window_us / 1e6 if warm else 0.0
+        mean = self.kind_took.get(m.kind, 0.0) * self.cold_window_us / 1e6
         level = self.cold_from + (1 - self.cold_from) * max(0.0, age / (self.ramp_us * 1.2))
-        return len(m.sends) < max(1.0, mean * min(1.0, self.cold_multiple * level * 0.5))
+        return len(m.sends) < max(1.0, mean * min(1.0, self.cold_multiple * level * COLD_PART))
 
     # ---- a req comes in
 
@@ -405,15 +409,14 @@
         if len(req.forwards) >= self.most_forwards - 1:
             return self.give_up(req)
         reader, ready_us = self.choose_reader(req)
-        if reader is None:
+        if reader is None or not (reader.writes or any(self.usable(w, req) for w in self.writers)):
             return self.give_up(req)
         allowed = (req.target - self.now) * (0.5 if req.over else 1.0)
         # Never shed while the stage in question has nothing of this router's waiting: else what was learnt in
         # a jam is never learnt again and all is refused for good.
-        wait = self.wait_mean if all(w.unbegun for w in self.writers) else 0.0
-        queue = ready_us - (req.tokens - self.known(req, reader)) * reader.cost + wait
-        late = ready_us + wait > allowed
-        late = late and (reader.out_tokens > 0 or wait > allowed / 2)
+        began = sum(w.took for w in self.writers)
+        wait = min(1.5 * self.wait_mean, sum(w.unbegun for w in self.writers) / max(0.5, began) * 1e6)
+        late = ready_us + wait > allowed and (reader.out_tokens > 0 or wait > allowed / 2)
         self.mode("shedding", late, f"read in {ready_us / MS:.0f} ms, wait {wait / MS:.0f}, allowed {allowed / MS:.0f}")
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us + wait - allowed / 2))
@@ -461,7 +464,7 @@
                 drawn = min(near, key=lambda r: ends[r.id])
             else:
                 drawn = min(near, key=lambda r: -log((crc32(f"{key}/{r.id}".encode()) + 1) / 4294967297)
-                            / self.share[r.id])
+                            / max(1e-9, self.share[r.id]))
         elif drawn not in fit and fit:
             drawn = min(fit, key=lambda r: ends[r.id])
         return drawn, ends[drawn.id]
