A stream's length against the fleet's counts running streams; no wait assumed before any is heard

Cause: at start 1.9 s of wait were assumed and reqs pushed back (suva quiet, first half second); a slow writer's pace was learnt only when its streams ended.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -44,13 +44,14 @@
     __slots__ = ("id", "zone", "cell", "kind", "size", "mode", "reads", "writes", "started_us", "latency", "wait",
                  "out_tokens", "stream_tokens", "streams", "cost", "pace", "waiting", "heard_us", "bad",
                  "suspect", "trial_us", "sends", "kept", "report", "cold", "busy_us", "taken",
-                 "took", "read_us", "read_tokens", "unbegun")
+                 "took", "read_us", "read_tokens", "unbegun", "stream_us", "finished", "begun")
 
     def __init__(self, row, roles):
         self.id, self.bad, self.suspect, self.trial_us, self.cold = row.id, 0.0, False, 0, False
         self.latency, self.wait = Histogram(), Histogram()
         self.out_tokens = self.stream_tokens = self.streams = 0
-        self.cost = self.pace = self.read_us = self.read_tokens = 0.0
+        self.cost = self.read_us = self.read_tokens = self.stream_us = self.finished = 0.0
+        self.pace, self.begun = 1.0, 0  # length of its streams against the fleet's, running ones too
         self.unbegun = 0  # writes out whose answer has not begun
         self.waiting, self.heard_us, self.busy_us = {}, 0, 0
         self.taken, self.took = 0, 0.0  # served since the last refresh, and a second on average
@@ -66,15 +67,14 @@
 
 class Req:
     __slots__ = ("id", "group", "tenant", "tokens", "fresh", "arrived", "expires", "target", "session", "prefix",
-                 "prefix_tokens", "forwards", "out", "holder", "begun", "closed", "over", "tried", "begun_us",
-                 "ran")
+                 "prefix_tokens", "forwards", "out", "holder", "begun", "closed", "over", "tried", "ran")
 
     def __init__(self, rid, group, tenant, tokens, now, expires, target, session, prefix, prefix_tokens):
         self.id, self.group, self.tenant, self.tokens = rid, group, tenant, tokens
         self.arrived, self.expires, self.target = now, expires, target
         self.session, self.prefix, self.prefix_tokens = session, prefix, prefix_tokens
         self.forwards, self.out, self.holder, self.begun, self.closed = [], 0, None, None, False
-        self.over, self.tried, self.begun_us, self.ran, self.fresh = False, set(), 0, [], tokens
+        self.over, self.tried, self.ran, self.fresh = False, set(), [], tokens
 
 
 class Router:
@@ -100,7 +100,6 @@
         self.readers, self.writers, self.share = [], [], {}
         self.near = [[0.0] * 5 for _ in range(3)]  # sums for the transfer cost: same cell, same zone, other
         self.transfer = [0.0] * 3
-        self.answer_us = [0.0] * len(self.groups)
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
         self.kind_took = {}  # a second, by a warm server of the kind
         self.heat = {}  # reqs seen lately, by shared prefix
@@ -202,11 +201,16 @@
             warm = [m.took for m in self.machines.values() if m.kind == kind and m.mode == "ready" and not m.cold]
             mean = sum(warm) / len(warm) if warm else 0.0
             self.kind_took[kind] = max(mean, self.kind_took.get(kind, 0.0) * 0.98)
+        spent = sum(w.stream_us for w in self.writers) / max(1.0, sum(w.finished for w in self.writers))
+        for w in self.writers:
+            w.stream_us += w.begun * REFRESH_US
+            w.pace = max(0.5, (w.stream_us + 2 * spent) / (w.finished + 2) / spent) if spent else 1.0
         self.refresh()
         if self.ticks % HALVE_EVERY == 0:
             for m in self.machines.values():
                 m.latency.halve()
                 m.wait.halve()
+                m.stream_us, m.finished = m.stream_us * 0.7, m.finished * 0.7
             for sums in self.near:
                 sums[:] = [s / 2 for s in sums]
             self.heat = {key: n / 2 for key, n in self.heat.items() if n > 0.5}
@@ -243,7 +247,7 @@
                     left = g.target_us + g.target_per_1000_us * mean / 1000 - move
                     value += part * self.attainment(bins, None if r is w else sums[w.id], left)
                 value = value if groups else 1.0
-                value *= 1.0 if not w.pace else min(1.0, 1.6 / w.pace) if w.pace > 1.6 else 1.0
+                value *= min(1.0, 1.5 / w.pace)
                 cost = self.far_price * (near > 0)
                 cost += self.cross_price * ((r.zone != self.zone) + (w.zone != self.zone and r is not w))
                 base[r.id, w.id] = value * (1 - r.bad) * (1 - w.bad) - cost
@@ -258,7 +262,7 @@
             for i, b in enumerate((m.wait if writing else m.latency).bins):
                 average[i] += b
         total = sum(average)
-        average = [a / total for a in average] if total else [1.0 / len(average)] * len(average)
+        average = [a / total for a in average] if total else [1.0] + [0.0] * len(EDGES)
         out = {}
         for m in machines:
             own = m.wait if writing else m.latency
@@ -574,7 +578,8 @@
             machine.unbegun -= stage == "write"
         machine.heard_us = self.now
         machine.taken += 1
-        req.begun, req.begun_us = number, self.now
+        req.begun = number
+        machine.begun += 1
         self.good(machine)
         if stage == "write" and req.holder is not None:
             near = 0 if req.holder.cell == machine.cell else 1 if req.holder.zone == machine.zone else 2
@@ -633,8 +638,9 @@
             self.good(machine)
         elif code == "full" and remark != 1:
             machine.busy_us = self.now + 150 * MS
-        if code == "done" and req.begun == number:
-            self.learn_pace(machine, req)
+        if req.begun == number:
+            machine.begun -= 1
+            machine.finished += code == "done"
         if ended:
             req.closed = True
         if req.closed:
@@ -646,13 +652,6 @@
             return
         self.next_step(req, machine, stage, code, remark)
 
-    def learn_pace(self, machine, req):
-        took = self.now - req.begun_us
-        usual = self.answer_us[req.group]
-        self.answer_us[req.group] += (took - usual) * (0.05 if usual else 1.0)
-        if usual:
-            machine.pace += (took / usual - machine.pace) * 0.1 if machine.pace else 1.0
-
     def next_step(self, req, machine, stage, code, remark):
         if req.out:
             return
