--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -44,12 +44,13 @@
     __slots__ = ("id", "zone", "cell", "kind", "size", "mode", "reads", "writes", "started_us", "latency", "wait",
                  "out_tokens", "stream_tokens", "streams", "cost", "pace", "waiting", "heard_us", "bad",
                  "suspect", "trial_us", "sends", "kept", "report", "cold", "busy_us", "taken",
-                 "took", "read_us", "read_tokens", "unbegun", "stream_us", "finished", "begun")
+                 "took", "read_us", "read_tokens", "trust", "unbegun", "stream_us", "finished", "begun")
 
     def __init__(self, row, roles):
         self.id, self.bad, self.suspect, self.trial_us, self.cold = row.id, 0.0, False, 0, False
         self.latency, self.wait = Histogram(), Histogram()
         self.out_tokens = self.stream_tokens = self.streams = 0
+        self.trust = 1.0  # part of the text believed kept here that reads did find
         self.cost = self.read_us = self.read_tokens = self.stream_us = self.finished = 0.0
         self.pace, self.begun = 1.0, 0  # length of its streams against the fleet's, running ones too
         self.unbegun = 0  # writes out whose answer has not begun
@@ -87,6 +88,8 @@
         self.memory = [max(1, m) / self.gateways for m in family["kind_memory_tokens"]]
         self.far_price, self.cross_price = family.get("far_price", 0.0), prices.get("cross_zone", 0.0)
         self.come_back_us = limits.get("max_retry_after_us", 0) if limits.get("retry_after") else 0
+        # What the response target allows a prompt token stands for its read cost until one is heard.
+        self.start_cost = max([g.target_per_1000_us / 1000 for g in self.groups] + [0.0]) or 50.0
         self.margin_us = settings.get("resolution_us", MS)
         self.cold_from, self.ramp_us = rules["cold_from"], rules["ramp_time_us"]
         self.cold_multiple, self.cold_window_us = rules["fall_multiple"], rules["overload_for_us"]
@@ -446,8 +449,9 @@
         if not usable:
             return None, 0
         drawn = self.draw([(r, self.share.get(r.id, 0.0) + (0.05 if r.suspect else 0.0)) for r in usable])
-        mean = sum(r.cost for r in usable) / len(usable)
-        ends = {r.id: max((r.out_tokens + req.tokens - self.known(req, r)) * (r.cost or mean), self.oldest(r))
+        heard = [r.cost for r in self.readers if r.cost] or [self.start_cost]
+        mean = sum(heard) / len(heard)
+        ends = {r.id: max((r.out_tokens + req.tokens - self.known(req, r) * r.trust) * (r.cost or mean), self.oldest(r))
                 for r in usable}
         if drawn.suspect:
             return drawn, ends[drawn.id]
@@ -620,6 +624,8 @@
         if stage != "write":
             if code == "read":
                 machine.latency.add(latency)
+                if req.tokens - fresh > 100:
+                    machine.trust += (min(1.0, (remark or 0) / (req.tokens - fresh)) - machine.trust) * 0.3
                 if (remark or 0) < (req.tokens - fresh) / 2:
                     machine.kept.pop(req.session, None)
                     if (remark or 0) < req.prefix_tokens / 2:
