--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -11,7 +11,7 @@
 MOVES = 4  # moves of share from worst to best pair at each refresh
 STEP = 0.02  # share of all reqs that one move shifts at the most
 FLOOR = 0.004  # least share of a pair, so that it is met again
-NEAR = 0.5  # shares above this part of the best are near it
+NEAR = 0.3  # shares above this part of the best are near it
 HALVE_EVERY = 8  # refreshes between two halvings of the histograms
 EDGES = [e * MS for e in (15, 25, 40, 60, 90, 130, 190, 270, 390, 560, 800, 1150, 1650, 2400, 3500, 5000)]
 MIDDLES = [10 * MS] + [(a + b) // 2 for a, b in zip(EDGES, EDGES[1:])] + [8000 * MS]
@@ -418,7 +418,7 @@
         reader, ready_us = self.choose_reader(req)
         if reader is None or not (reader.writes or any(self.usable(w, req) for w in self.writers)):
             return self.give_up(req)
-        allowed = (req.target - self.now) * (0.5 if req.over else 1.0)
+        allowed = (req.target - self.now) * (0.5 if req.over else 0.8)
         # Never shed while the stage in question has nothing of this router's waiting: else what was learnt in
         # a jam is never learnt again and all is refused for good.
         began = sum(w.took for w in self.writers)
@@ -455,7 +455,7 @@
                 for r in usable}
         if drawn.suspect:
             return drawn, ends[drawn.id]
-        allowed = max(0.4 * (req.target - req.arrived), min(ends.values()) * 1.1)
+        allowed = max(0.25 * (req.target - req.arrived), min(ends.values()) * 1.1)
         best = max(self.share.get(r.id, 0.0) for r in usable)
         fit = [r for r in usable if ends[r.id] <= allowed and not r.suspect]
         near = [r for r in fit if self.share.get(r.id, 0.0) >= NEAR * best]
