--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -3,6 +3,7 @@
 The ordinary path is the pair table and shares of docs/design.md; the rest guards it when things fail."""
 from bisect import bisect_left
 from collections import deque
+from itertools import accumulate
 from math import log
 from zlib import crc32
 
@@ -23,33 +24,24 @@
 
 class Histogram:
     """A few coarse bins of durations, halved now and then."""
-    __slots__ = ("bins", "total")
-
     def __init__(self):
         self.bins, self.total = [0.0] * len(MIDDLES), 0.0
 
-    def add(self, us, weight=1.0):
-        self.bins[bisect_left(EDGES, us)] += weight
-        self.total += weight
+    def add(self, us):
+        self.bins[bisect_left(EDGES, us)] += 1
+        self.total += 1
 
     def halve(self):
         self.bins, self.total = [b / 2 for b in self.bins], self.total / 2
 
-    def mean(self):
-        return sum(b * m for b, m in zip(self.bins, MIDDLES)) / self.total if self.total else 0.0
-
 
 class Machine:
     """What this router knows of one server."""
-    __slots__ = ("id", "zone", "cell", "kind", "size", "mode", "reads", "writes", "started_us", "latency", "wait",
-                 "out_tokens", "stream_tokens", "streams", "cost", "pace", "waiting", "heard_us", "bad",
-                 "suspect", "trial_us", "sends", "kept", "report", "cold", "busy_us", "taken",
-                 "took", "read_us", "read_tokens", "trust", "unbegun", "stream_us", "finished", "begun")
 
     def __init__(self, row, roles):
         self.id, self.bad, self.suspect, self.trial_us, self.cold = row.id, 0.0, False, 0, False
         self.latency, self.wait = Histogram(), Histogram()
-        self.out_tokens = self.stream_tokens = self.streams = 0
+        self.out_tokens = self.stream_tokens = 0  # own reads, own streams
         self.trust = 1.0  # part of the text believed kept here that reads did find
         self.cost = self.read_us = self.read_tokens = self.stream_us = self.finished = 0.0
         self.pace, self.begun = 1.0, 0  # length of its streams against the fleet's, running ones too
@@ -60,16 +52,13 @@
         self.listed(row, roles)
 
     def listed(self, row, roles):
-        self.zone, self.cell, self.kind, self.size, self.mode = row.zone, row.cell, row.kind, row.size, row.mode
+        self.zone, self.cell, self.kind, self.mode = row.zone, row.cell, row.kind, row.mode
         self.started_us = row.started_us
         role = roles[row.kind] if row.kind < len(roles) else "both"
         self.reads, self.writes = role in ("read", "both"), role in ("write", "both")
 
 
 class Req:
-    __slots__ = ("id", "group", "tenant", "tokens", "fresh", "arrived", "expires", "target", "session", "prefix",
-                 "prefix_tokens", "forwards", "out", "holder", "begun", "closed", "over", "tried", "ran")
-
     def __init__(self, rid, group, tenant, tokens, now, expires, target, session, prefix, prefix_tokens):
         self.id, self.group, self.tenant, self.tokens = rid, group, tenant, tokens
         self.arrived, self.expires, self.target = now, expires, target
@@ -81,7 +70,7 @@
 class Router:
     def __init__(self, seed, settings, now_us):
         limits, rules, prices = settings["limits"], settings["rules"], settings["penalties"]
-        family, report = settings["family_info"], settings.get("report", {})
+        family = settings["family_info"]
         self.seed, self.draws, self.groups = seed, 0, settings["groups"]
         self.gateways, self.zone = max(1, settings.get("balancers", 1)), settings.get("az", 0)
         self.roles, self.most_forwards = family["duty_by_kind"], limits["max_attempts"]
@@ -94,20 +83,17 @@
         self.cold_from, self.ramp_us = rules["cold_from"], rules["ramp_time_us"]
         self.cold_multiple, self.cold_window_us = rules["fall_multiple"], rules["overload_for_us"]
         self.asks = settings.get("membership_mode") == "subscribe"
-        self.by_work = settings.get("worth_by") == "work"
-        self.over_worth = settings.get("over_share_worth", 1.0)
         self.quota = [t.get("quota_rps", 0) / self.gateways for t in settings.get("tenants") or []]
         self.quota_left = [2 * q for q in self.quota]
-        self.reports = report.get("how") == "inline"
-        self.machines, self.reqs, self.pairs, self.scores = {}, {}, {}, {}
+        self.machines, self.reqs, self.pairs = {}, {}, {}
         self.readers, self.writers, self.share = [], [], {}
         self.near = [[0.0] * 5 for _ in range(3)]  # sums for the transfer cost: same cell, same zone, other
         self.transfer = [0.0] * 3
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
         self.kind_took = {}  # a second, by a warm server of the kind
         self.heat = {}  # reqs seen lately, by shared prefix
-        self.token_rate, self.read_tokens, self.ticks, self.asked_us = 0.0, 0, 0, 0
-        self.spare, self.shed, self.strain = 10.0, 0.0, 0.0
+        self.token_rate, self.read_tokens, self.ticks, self.subscribed = 0.0, 0, 0, True
+        self.spare = 10.0  # further forwards that failures may still cause
         self.read_mean = self.wait_mean = 0.0
         self.modes, self.started, self.now = {}, False, now_us
 
@@ -119,7 +105,6 @@
             self.started = True
             out.timer(REFRESH_US, 0)
             if self.asks:
-                self.asked_us = now_us
                 out.watch(True)
         for event in events:
             getattr(self, "on_" + event[0])(*event[1:])
@@ -136,44 +121,39 @@
     # ---- the list of servers
 
     def on_servers(self, kind, rows):
-        if kind == "unavailable":
+        self.subscribed = kind != "unavailable"
+        if not self.subscribed:
             return
-        named = set()
         for row in rows:
-            named.add(row.id)
             machine = self.machines.get(row.id)
             if machine is None:
-                machine = self.machines[row.id] = Machine(row, self.roles)
-            else:
-                if row.started_us != machine.started_us:
-                    self.forget(machine)
-                machine.listed(row, self.roles)
+                self.machines[row.id] = Machine(row, self.roles)
+                continue
+            if row.started_us != machine.started_us:
+                self.forget(machine)
+            machine.listed(row, self.roles)
         if kind != "update":
+            named = {row.id for row in rows}
             for machine in self.machines.values():
-                if machine.id not in named:
-                    machine.mode = "gone"
+                machine.mode = machine.mode if machine.id in named else "gone"
         ready = [m for m in self.machines.values() if m.mode == "ready"]
-        self.readers = [m for m in ready if m.reads]
-        self.writers = [m for m in ready if m.writes]
+        self.readers, self.writers = [m for m in ready if m.reads], [m for m in ready if m.writes]
         self.level_pairs()
 
-    def forget(self, machine):
+    @staticmethod
+    def forget(machine):
         """A server that started anew has kept nothing, and its old troubles are over."""
-        machine.kept, machine.bad, machine.suspect, machine.report = {}, 0.0, False, None
+        machine.kept, machine.bad, machine.suspect = {}, 0.0, False
         machine.latency, machine.wait = Histogram(), Histogram()
 
     def level_pairs(self):
         """New pairs come in at the mean share; those that left give theirs up."""
-        wanted = [(r.id, w.id) for r in self.readers for w in ([r] if r.writes else self.writers)]
-        old = {p: self.pairs[p] for p in wanted if p in self.pairs}
-        mean = sum(old.values()) / len(old) if old else 1.0
-        weights = {}
-        for r in self.readers:  # equal for every reader, then for every writer in its row
-            row = [r] if r.writes else self.writers
-            for w in row:
-                weights[r.id, w.id] = old.get((r.id, w.id), mean if old else 1.0 / len(row))
-        total = sum(weights.values()) or 1.0
-        self.pairs = {p: v / total for p, v in weights.items()}
+        rows = [(r, [r] if r.writes else self.writers) for r in self.readers]
+        old = [self.pairs[r.id, w.id] for r, row in rows for w in row if (r.id, w.id) in self.pairs]
+        mean = sum(old) / len(old) if old else 0.0
+        pairs = {(r.id, w.id): self.pairs.get((r.id, w.id), mean or 1.0 / len(row)) for r, row in rows for w in row}
+        total = sum(pairs.values()) or 1.0
+        self.pairs = {p: v / total for p, v in pairs.items()}
         self.sum_shares()
 
     def sum_shares(self):
@@ -188,9 +168,8 @@
             return
         self.out.timer(REFRESH_US, 0)
         self.ticks += 1
-        if self.asks and self.now - self.asked_us > 5000 * MS:
-            self.asked_us = self.now
-            self.out.watch(True)
+        if self.asks and not self.subscribed and self.ticks % 4 == 0:
+            self.out.watch(True)  # the call failed or the subscription broke
         self.spare = min(10.0, self.spare + 0.5)
         rate = self.read_tokens / (REFRESH_US / 1e6)
         self.token_rate += (rate - self.token_rate) * 0.2
@@ -228,22 +207,16 @@
                 self.transfer[i] = max(0.0, min(slope, l / t))
         read = self.with_waits(self.readers, False)
         wait = self.with_waits(self.writers, True)
-        self.read_mean, self.wait_mean = self.mean_of(read), self.mean_of(wait)
+        self.read_mean, self.wait_mean = (sum(v[1] for v in t.values()) / max(1, len(t)) for t in (read, wait))
         total = sum(m[0] for m in self.mix) or 1.0
         groups = [(m[0] / total, m[1] / m[0], g) for m, g in zip(self.mix, self.groups) if m[0] > 0]
         tokens = sum(m[1] for m in self.mix) / total
-        sums = {}
-        for w in self.writers:
-            run, cum = 0.0, []
-            for b in wait[w.id][0]:
-                run += b
-                cum.append(run)
-            sums[w.id] = cum
+        sums = {w.id: list(accumulate(wait[w.id][0])) for w in self.writers}
         base = {}
         for r in self.readers:
             bins = read[r.id][0]
             for w in ([r] if r.writes else self.writers):
-                near = 0 if r.cell == w.cell else 1 if r.zone == w.zone else 2
+                near = self.nearness(r, w)
                 move = 0.0 if r is w else tokens * self.transfer[near]
                 value = 0.0
                 for part, mean, g in groups:
@@ -260,10 +233,7 @@
     def with_waits(self, machines, writing):
         """Each server's bins as parts of 1, blended with the average; what is still out counts by its age
         so far, so that a hung server's score falls before any outcome comes."""
-        average = [0.0] * len(MIDDLES)
-        for m in machines:
-            for i, b in enumerate((m.wait if writing else m.latency).bins):
-                average[i] += b
+        average = [sum(bins) for bins in zip(*((m.wait if writing else m.latency).bins for m in machines))]
         total = sum(average)
         average = [a / total for a in average] if total else [1.0] + [0.0] * len(EDGES)
         out = {}
@@ -279,21 +249,10 @@
             out[m.id] = bins, sum(b * mid for b, mid in zip(bins, MIDDLES))
         return out
 
-    @staticmethod
-    def mean_of(table):
-        return sum(v[1] for v in table.values()) / len(table) if table else 0.0
-
     @staticmethod
     def attainment(bins, cumulated, left):
-        value = 0.0
-        for part, middle in zip(bins, MIDDLES):
-            if part < 1e-4:
-                continue
-            slack = left - middle
-            if slack <= 0:
-                break
-            value += part * (1.0 if cumulated is None else cumulated[bisect_left(EDGES, slack)])
-        return value
+        return sum(part * (1.0 if cumulated is None else cumulated[bisect_left(EDGES, left - middle)])
+                   for part, middle in zip(bins, MIDDLES) if part > 1e-4 and middle < left)
 
     def move_shares(self, base):
         """Shares go from the worst pair to the best, each move counted at once as load to come."""
@@ -326,9 +285,12 @@
                 self.pairs[r, w] += sign
                 read_share[r] += sign
                 write_share[w] += sign
-        self.scores = scores
         self.sum_shares()
 
+    @staticmethod
+    def nearness(r, w):
+        return 0 if r.cell == w.cell else 1 if r.zone == w.zone else 2
+
     def memory_of(self, machine):
         return self.memory[machine.kind] if machine.kind < len(self.memory) else self.memory[-1]
 
@@ -380,13 +342,10 @@
     def cold_allows(self, m):
         """This router's part of what a just-started server may be sent, against what warm ones of its kind get."""
         age = self.now - m.started_us
-        cold = m.started_us > 0 and age < self.ramp_us * 1.2
-        if m.cold != cold:
-            m.cold = cold
-        if not cold:
+        m.cold = m.started_us > 0 and age < self.ramp_us * 1.2
+        if not m.cold:
             return True
-        since = self.now - self.cold_window_us
-        while m.sends and m.sends[0] < since:
+        while m.sends and m.sends[0] < self.now - self.cold_window_us:
             m.sends.popleft()
         mean = self.kind_took.get(m.kind, 0.0) * self.cold_window_us / 1e6
         level = self.cold_from + (1 - self.cold_from) * max(0.0, age / (self.ramp_us * 1.2))
@@ -493,9 +452,7 @@
     # ---- the second stage
 
     def write(self, req):
-        writer = None
-        if len(req.forwards) < self.most_forwards:
-            writer = self.choose_writer(req)
+        writer = self.choose_writer(req) if len(req.forwards) < self.most_forwards else None
         if writer is None:
             return self.give_up(req)
         self.send(req, writer, "write")
@@ -519,14 +476,9 @@
             return True
         if g.effect != "keyed":
             return False
-        for first, sent in req.ran:
-            if g.repeat_scope == "zone" and first.zone != machine.zone:
-                return False
-            if g.repeat_scope == "cell" and first.cell != machine.cell:
-                return False
-            if self.now - sent > g.repeat_window_us - 50 * MS:
-                return False
-        return True
+        scope = g.repeat_scope
+        return all(self.now - sent <= g.repeat_window_us - 50 * MS
+                   and (scope == "all" or getattr(first, scope) == getattr(machine, scope)) for first, sent in req.ran)
 
     def may_push_back(self, req):
         g = self.groups[req.group]
@@ -541,14 +493,12 @@
         if stage != "read":
             req.ran.append((machine, self.now))
             machine.stream_tokens += req.tokens
-            machine.streams += 1
         if stage != "write":
             machine.out_tokens += req.fresh
         machine.waiting[req.id, number] = (self.now, stage == "write")
         machine.unbegun += stage == "write"
         machine.sends.append(self.now)
-        since = self.now - self.cold_window_us
-        while machine.sends[0] < since:
+        if len(machine.sends) > 400:
             machine.sends.popleft()
         if machine.suspect:
             machine.trial_us = self.now + 1000 * MS
@@ -556,20 +506,13 @@
 
     def give_up(self, req, come_back_us=None):
         """The final answer at once, and whatever is held let go."""
-        if req.closed:
-            return
         req.closed = True
-        if req.holder is not None:
-            self.out.release(req.id)
-            req.holder = None
         if self.may_push_back(req):
-            if come_back_us is None:
-                come_back_us = self.come_back_us
-            self.out.push_back(req.id, max(0, min(come_back_us, self.come_back_us)))
+            wanted = self.come_back_us if come_back_us is None else come_back_us
+            self.out.push_back(req.id, max(0, min(wanted, self.come_back_us)))
         else:
             self.out.abort(req.id)
-        if not req.out:
-            self.reqs.pop(req.id, None)
+        self.let_go(req)
 
     # ---- what comes back
 
@@ -586,7 +529,7 @@
         machine.begun += 1
         self.good(machine)
         if stage == "write" and req.holder is not None:
-            near = 0 if req.holder.cell == machine.cell else 1 if req.holder.zone == machine.zone else 2
+            near = self.nearness(req.holder, machine)
             for i, v in enumerate((1, req.tokens, latency, req.tokens * latency, req.tokens * req.tokens)):
                 self.near[near][i] += v
             machine.wait.add(max(0, latency - req.tokens * self.transfer[near]))
@@ -618,7 +561,6 @@
             machine.unbegun -= stage == "write"
         if stage != "read":
             machine.stream_tokens -= req.tokens
-            machine.streams -= 1
             if code in NEVER_RAN:
                 req.ran = [r for r in req.ran if r != (machine, sent)]
         if stage != "write":
@@ -647,26 +589,27 @@
         if req.begun == number:
             machine.begun -= 1
             machine.finished += code == "done"
-        if ended:
-            req.closed = True
+        if code == "read":
+            req.holder = machine
+        req.closed = req.closed or bool(ended)
         if req.closed:
-            if code == "read" or req.holder is not None:
-                self.out.release(rid)
-                req.holder = None
-            if not req.out:
-                del self.reqs[rid]
-            return
+            return self.let_go(req)
         self.next_step(req, machine, stage, code, remark)
 
+    def let_go(self, req):
+        """A closed req: what is held for it is released, and it is forgotten with its last forward."""
+        if req.holder is not None:
+            self.out.release(req.id)
+            req.holder = None
+        if not req.out:
+            del self.reqs[req.id]
+
     def next_step(self, req, machine, stage, code, remark):
         if req.out:
             return
         if code == "read":
-            req.holder = machine
             return self.write(req)
-        if code == "moot" or req.begun is not None:
-            return self.give_up(req)
-        if self.now + self.margin_us >= req.expires:
+        if code == "moot" or req.begun is not None or self.now + self.margin_us >= req.expires:
             return self.give_up(req)
         if code == "full" and stage == "write" and remark == 1:
             req.holder = None
@@ -684,20 +627,12 @@
 
     def on_client_left(self, rid):
         req = self.reqs.get(rid)
-        if req is None:
-            return
-        req.closed = True
-        if req.holder is not None and not req.out:
-            self.out.release(rid)
-            req.holder = None
-        if not req.out:
-            del self.reqs[rid]
-
-    def on_place(self, rid, server, number, held):
-        pass
+        if req is not None:
+            req.closed = True
+            if not req.out:
+                self.let_go(req)
 
-    def on_probed(self, server, code, latency, report):
-        pass
+    def ignore(self, *fields):
+        """Places, probes and peers' messages: this module asks for none of them."""
 
-    def on_peer(self, sender, payload):
-        pass
+    on_place = on_probed = on_peer = ignore
