--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -48,7 +48,7 @@
         self.unbegun = 0  # writes out whose answer has not begun
         self.waiting, self.heard_us, self.busy_us = {}, 0, 0
         self.taken, self.took = 0, 0.0  # served since the last refresh, and a second on average
-        self.sends, self.kept, self.report = deque(), {}, None
+        self.sends, self.kept, self.told_us, self.told_at = deque(), {}, 0, 0
         self.listed(row, roles)
 
     def listed(self, row, roles):
@@ -238,8 +238,11 @@
         average = [a / total for a in average] if total else [1.0] + [0.0] * len(EDGES)
         out = {}
         for m in machines:
+            told = int(m.told_us) if writing and self.now - m.told_at < 2000 * MS else 0
             own = m.wait if writing else m.latency
             bins = [b + PRIOR * a for b, a in zip(own.bins, average)]
+            if told > 15 * MS:
+                bins[bisect_left(EDGES, told)] += PRIOR
             mean = sum(b * mid for b, mid in zip(bins, MIDDLES)) / (own.total + PRIOR)
             for sent, wr in m.waiting.values():
                 if wr == writing and self.now - sent > mean:
@@ -548,8 +551,10 @@
 
     def on_outcome(self, rid, number, server, code, latency, ended, remark, report):
         machine = self.machines.get(server)
-        if machine is not None and report:
-            machine.report = report
+        if machine is not None and report and report.get("queue") is not None:
+            # What the server says waits there, at the rate at which it serves all routers.
+            machine.told_us = report["queue"] / max(1.0, machine.took * self.gateways) * 1e6
+            machine.told_at = self.now
         req = self.reqs.get(rid)
         if req is None or number >= len(req.forwards) or not req.forwards[number][3]:
             return
