--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -45,8 +45,9 @@
         self.trust = 1.0  # part of the text believed kept here that reads did find
         self.cost = self.read_us = self.read_tokens = self.stream_us = self.finished = 0.0
         self.pace, self.begun = 1.0, 0  # length of its streams against the fleet's, running ones too
-        self.unbegun = 0  # writes out whose answer has not begun
+        self.expect, self.unbegun = 0.0, 0  # writer's wait; writes out whose answer has not begun
         self.waiting, self.heard_us, self.busy_us = {}, 0, 0
+        self.answered_us = 0  # when the latest-sent of the answered forwards was sent
         self.taken, self.took = 0, 0.0  # served since the last refresh, and a second on average
         self.sends, self.kept, self.told_us, self.told_at = deque(), {}, 0, 0
         self.listed(row, roles)
@@ -93,6 +94,7 @@
         self.kind_took = {}  # a second, by a warm server of the kind
         self.heat = {}  # reqs seen lately, by shared prefix
         self.token_rate, self.read_tokens, self.ticks, self.subscribed = 0.0, 0, 0, True
+        self.lost = 0.0  # forwards taken back lately
         self.spare = 10.0  # further forwards that failures may still cause
         self.read_mean = self.wait_mean = 0.0
         self.modes, self.started, self.now = {}, False, now_us
@@ -207,6 +209,8 @@
                 self.transfer[i] = max(0.0, min(slope, l / t))
         read = self.with_waits(self.readers, False)
         wait = self.with_waits(self.writers, True)
+        for w in self.writers:
+            w.expect = wait[w.id][1]
         self.read_mean, self.wait_mean = (sum(v[1] for v in t.values()) / max(1, len(t)) for t in (read, wait))
         total = sum(m[0] for m in self.mix) or 1.0
         groups = [(m[0] / total, m[1] / m[0], g) for m, g in zip(self.mix, self.groups) if m[0] > 0]
@@ -309,17 +313,27 @@
                 if quiet > max(600 * MS, 5 * usual + 2 * m.out_tokens * m.cost):
                     if not m.suspect:
                         self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
-                    self.take_back(m)
+                    self.take_back(m, False)
+                self.take_back(m, True)
             suspects += m.suspect and m.mode == "ready"
+        self.lost *= 0.8
+        self.mode("forwards lost", self.lost > 2, f"{self.lost:.1f} taken back lately, spare {self.spare:.1f}")
         ready = len(self.readers) + len(self.writers)
         self.mode("trouble in common", ready > 0 and suspects * 2 > ready, f"{suspects} suspects of {ready}")
 
-    def take_back(self, m):
-        """Reads have no effect, so those out at a silent server are read again elsewhere."""
-        for (rid, number), (_, writing) in list(m.waiting.items()):
-            req = self.reqs[rid]
-            if not writing and not req.closed and self.spare >= 1 and req.forwards[number][1] == "read":
-                self.out.retract(rid, number)
+    def take_back(self, m, overtaken):
+        """Forwards that a silent server holds, or that later ones have overtaken there by far, are lost as
+        far as their clients go: a read has no effect, and a write is taken back where a repeat does no harm."""
+        for (rid, number), (sent, writing) in list(m.waiting.items()):
+            req, age = self.reqs[rid], self.now - sent
+            if overtaken and (sent >= m.answered_us or age < max(400 * MS, 4 * (m.expect if writing else self.read_mean))):
+                break
+            direct = writing or req.forwards[number][1] == "direct"
+            if req.closed or self.spare < 1 or len(req.forwards) >= self.most_forwards - 1 or (
+                    direct and (not overtaken or self.groups[req.group].effect != "replayable")):
+                continue
+            self.lost += 1
+            self.out.retract(rid, number)
 
     def mark(self, m, by, why):
         m.bad += (1 - m.bad) * by
@@ -362,6 +376,7 @@
         req = Req(rid, group, tenant or 0, tokens, self.now, expires, target, session, prefix, prefix_tokens or 0)
         self.reqs[rid] = req
         self.mix[group][0] += 1
+        self.spare = min(10.0, self.spare + 0.3)
         if prefix is not None:
             self.heat[prefix] = self.heat.get(prefix, 0) + 1
         self.mix[group][1] += tokens
@@ -378,13 +393,14 @@
         if len(req.forwards) >= self.most_forwards - 1:
             return self.give_up(req)
         reader, ready_us = self.choose_reader(req)
-        if reader is None or not (reader.writes or any(self.usable(w, req) for w in self.writers)):
+        writers = [w for w in self.writers if self.usable(w, req)]
+        if reader is None or not (reader.writes or writers):
             return self.give_up(req)
         allowed = (req.target - self.now) * (0.5 if req.over else 0.8)
         # Never shed while the stage in question has nothing of this router's waiting: else what was learnt in
-        # a jam is never learnt again and all is refused for good.
-        began = sum(w.took for w in self.writers)
-        wait = min(1.5 * self.wait_mean, sum(w.unbegun for w in self.writers) / max(0.5, began) * 1e6)
+        # a jam is never learnt again and all is refused for good. The middle writer counts, not a hung one.
+        waits = sorted(min(1.5 * w.expect, w.unbegun / max(0.2, w.took) * 1e6) for w in writers)
+        wait = waits[len(waits) // 2] if waits and not reader.writes else 0
         late = ready_us + wait > allowed and (reader.out_tokens > 0 or wait > allowed / 2)
         self.mode("shedding", late, f"read in {ready_us / MS:.0f} ms, wait {wait / MS:.0f}, allowed {allowed / MS:.0f}")
         if late and self.may_push_back(req):
@@ -407,7 +423,8 @@
 
     def choose_reader(self, req):
         """The reader, and in what time its read should end."""
-        usable = [r for r in self.readers if self.usable(r, req)]
+        usable = [r for r in self.readers
+                  if self.usable(r, req) and (not r.writes or self.may_forward(req, r))]  # a direct one may run
         if not usable:
             return None, 0
         drawn = self.draw([(r, self.share.get(r.id, 0.0) + (0.05 if r.suspect else 0.0)) for r in usable])
@@ -526,7 +543,7 @@
         machine, stage, sent, _, fresh, ahead = req.forwards[number]
         if machine.waiting.pop((rid, number), None):
             machine.unbegun -= stage == "write"
-        machine.heard_us = self.now
+        machine.heard_us, machine.answered_us = self.now, max(machine.answered_us, sent)
         machine.taken += 1
         req.begun = number
         machine.begun += 1
@@ -582,6 +599,7 @@
             machine.out_tokens -= forward[4]
         if code not in ("timed_out", "cancelled", "moot"):
             machine.heard_us = self.now
+            machine.answered_us = max(machine.answered_us, sent if code == "read" else 0)
         machine.taken += code == "read"
         if code in FAILURES:
             self.mark(machine, 0.6 if code == "unreachable" else 0.3, f"{code} after {latency // MS} ms")
