--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -22,17 +22,9 @@
 NEVER_RAN = ("full", "unreachable", "moot", "read")
 
 
-class Histogram:
-    """A few coarse bins of durations, halved now and then."""
-    def __init__(self):
-        self.bins, self.total = [0.0] * len(MIDDLES), 0.0
-
-    def add(self, us):
-        self.bins[bisect_left(EDGES, us)] += 1
-        self.total += 1
-
-    def halve(self):
-        self.bins, self.total = [b / 2 for b in self.bins], self.total / 2
+def count(bins, us):
+    """Durations are measured in a few coarse bins, halved now and then."""
+    bins[bisect_left(EDGES, us)] += 1
 
 
 class Machine:
@@ -40,7 +32,7 @@
 
     def __init__(self, row, roles):
         self.id, self.bad, self.suspect, self.trial_us, self.cold = row.id, 0.0, False, 0, False
-        self.latency, self.wait = Histogram(), Histogram()
+        self.latency, self.wait = [0.0] * len(MIDDLES), [0.0] * len(MIDDLES)  # reads; first tokens less transfer
         self.out_tokens = self.stream_tokens = 0  # own reads, own streams
         self.trust = 1.0  # part of the text believed kept here that reads did find
         self.cost = self.read_us = self.read_tokens = self.stream_us = self.finished = 0.0
@@ -64,8 +56,9 @@
         self.id, self.group, self.tenant, self.tokens = rid, group, tenant, tokens
         self.arrived, self.expires, self.target = now, expires, target
         self.session, self.prefix, self.prefix_tokens = session, prefix, prefix_tokens
-        self.forwards, self.out, self.holder, self.begun, self.closed = [], 0, None, None, False
-        self.over, self.tried, self.ran, self.fresh = False, set(), [], tokens
+        self.forwards, self.out, self.tried = [], 0, set()  # out: how many have no outcome yet
+        self.holder, self.begun, self.closed, self.over = None, None, False, False
+        self.ran, self.fresh = [], tokens  # forwards that may have run; tokens to read
 
 
 class Router:
@@ -116,10 +109,6 @@
             self.modes[name] = on
             self.out.log(f"{name} {'on' if on else 'off'}: {text}")
 
-    def chance(self):
-        self.draws += 1
-        return crc32(b"%d/%d" % (self.seed, self.draws)) / 4294967296.0
-
     # ---- the list of servers
 
     def on_servers(self, kind, rows):
@@ -146,7 +135,7 @@
     def forget(machine):
         """A server that started anew has kept nothing, and its old troubles are over."""
         machine.kept, machine.bad, machine.suspect = {}, 0.0, False
-        machine.latency, machine.wait = Histogram(), Histogram()
+        machine.latency, machine.wait = [0.0] * len(MIDDLES), [0.0] * len(MIDDLES)
 
     def level_pairs(self):
         """New pairs come in at the mean share; those that left give theirs up."""
@@ -159,22 +148,20 @@
         self.sum_shares()
 
     def sum_shares(self):
+        """X, the shares of the readers."""
         self.share = dict.fromkeys((r.id for r in self.readers), 0.0)
         for (r, _), v in self.pairs.items():
-            self.share[r] = self.share.get(r, 0.0) + v
+            self.share[r] += v
 
     # ---- scores and shares
 
     def on_timer(self, token):
-        if token != 0:
-            return
         self.out.timer(REFRESH_US, 0)
         self.ticks += 1
         if self.asks and not self.subscribed and self.ticks % 4 == 0:
             self.out.watch(True)  # the call failed or the subscription broke
         self.spare = min(10.0, self.spare + 0.5)
-        rate = self.read_tokens / (REFRESH_US / 1e6)
-        self.token_rate += (rate - self.token_rate) * 0.2
+        self.token_rate += (self.read_tokens / (REFRESH_US / 1e6) - self.token_rate) * 0.2
         self.read_tokens = 0
         for i, q in enumerate(self.quota):
             self.quota_left[i] = min(2 * q, self.quota_left[i] + q * REFRESH_US / 1e6)
@@ -183,8 +170,7 @@
             m.taken = 0
         for kind in range(len(self.roles)):  # remembered, for when all of a kind start at once
             warm = [m.took for m in self.machines.values() if m.kind == kind and m.mode == "ready" and not m.cold]
-            mean = sum(warm) / len(warm) if warm else 0.0
-            self.kind_took[kind] = max(mean, self.kind_took.get(kind, 0.0) * 0.98)
+            self.kind_took[kind] = max(sum(warm) / max(1, len(warm)), self.kind_took.get(kind, 0.0) * 0.98)
         spent = sum(w.stream_us for w in self.writers) / max(1.0, sum(w.finished for w in self.writers))
         for w in self.writers:
             w.stream_us += w.begun * REFRESH_US
@@ -192,14 +178,10 @@
         self.refresh()
         if self.ticks % HALVE_EVERY == 0:
             for m in self.machines.values():
-                m.latency.halve()
-                m.wait.halve()
+                m.latency, m.wait = [b / 2 for b in m.latency], [b / 2 for b in m.wait]
                 m.stream_us, m.finished = m.stream_us * 0.7, m.finished * 0.7
-            for sums in self.near:
-                sums[:] = [s / 2 for s in sums]
+            self.near, self.mix = ([[v / 2 for v in sums] for sums in table] for table in (self.near, self.mix))
             self.heat = {key: n / 2 for key, n in self.heat.items() if n > 0.5}
-            for mix in self.mix:
-                mix[:] = [v / 2 for v in mix]
 
     def refresh(self):
         for i, (n, t, l, tl, tt) in enumerate(self.near):
@@ -213,7 +195,8 @@
             w.expect = wait[w.id][1]
         self.read_mean, self.wait_mean = (sum(v[1] for v in t.values()) / max(1, len(t)) for t in (read, wait))
         total = sum(m[0] for m in self.mix) or 1.0
-        groups = [(m[0] / total, m[1] / m[0], g) for m, g in zip(self.mix, self.groups) if m[0] > 0]
+        groups = [(m[0] / total, g.target_us + g.target_per_1000_us * m[1] / m[0] / 1000)
+                  for m, g in zip(self.mix, self.groups) if m[0] > 0]
         tokens = sum(m[1] for m in self.mix) / total
         sums = {w.id: list(accumulate(wait[w.id][0])) for w in self.writers}
         base = {}
@@ -222,12 +205,9 @@
             for w in ([r] if r.writes else self.writers):
                 near = self.nearness(r, w)
                 move = 0.0 if r is w else tokens * self.transfer[near]
-                value = 0.0
-                for part, mean, g in groups:
-                    left = g.target_us + g.target_per_1000_us * mean / 1000 - move
-                    value += part * self.attainment(bins, None if r is w else sums[w.id], left)
-                value = value if groups else 1.0
-                value *= min(1.0, 1.5 / w.pace)
+                waits = None if r is w else sums[w.id]
+                value = sum(part * self.attainment(bins, waits, target - move) for part, target in groups)
+                value = (value if groups else 1.0) * min(1.0, 1.5 / w.pace)
                 cost = self.far_price * (near > 0)
                 cost += self.cross_price * ((r.zone != self.zone) + (w.zone != self.zone and r is not w))
                 base[r.id, w.id] = value * (1 - r.bad) * (1 - w.bad) - cost
@@ -237,22 +217,19 @@
     def with_waits(self, machines, writing):
         """Each server's bins as parts of 1, blended with the average; what is still out counts by its age
         so far, so that a hung server's score falls before any outcome comes."""
-        average = [sum(bins) for bins in zip(*((m.wait if writing else m.latency).bins for m in machines))]
+        average = [sum(bins) for bins in zip(*(m.wait if writing else m.latency for m in machines))]
         total = sum(average)
         average = [a / total for a in average] if total else [1.0] + [0.0] * len(EDGES)
         out = {}
         for m in machines:
-            told = int(m.told_us) if writing and self.now - m.told_at < 2000 * MS else 0
-            own = m.wait if writing else m.latency
-            bins = [b + PRIOR * a for b, a in zip(own.bins, average)]
-            if told > 15 * MS:
-                bins[bisect_left(EDGES, told)] += PRIOR
-            mean = sum(b * mid for b, mid in zip(bins, MIDDLES)) / (own.total + PRIOR)
+            bins = [b + PRIOR * a for b, a in zip(m.wait if writing else m.latency, average)]
+            mean = sum(b * mid for b, mid in zip(bins, MIDDLES)) / sum(bins)
+            if writing and m.told_us > EDGES[0] and self.now - m.told_at < 2000 * MS:
+                bins[bisect_left(EDGES, m.told_us)] += PRIOR
             for sent, wr in m.waiting.values():
                 if wr == writing and self.now - sent > mean:
                     bins[bisect_left(EDGES, self.now - sent)] += 1
-            size = sum(bins)
-            bins = [b / size for b in bins]
+            bins = [b / total for total in (sum(bins),) for b in bins]
             out[m.id] = bins, sum(b * mid for b, mid in zip(bins, MIDDLES))
         return out
 
@@ -266,11 +243,9 @@
         if len(base) < 2:
             return
         streams = sum(w.stream_tokens for w in self.writers)
-        readers = {r.id: r for r in self.readers}
-        writers = {w.id: w for w in self.writers}
-        read_share, write_share = dict.fromkeys(readers, 0.0), dict.fromkeys(writers, 0.0)
-        for (r, w), v in self.pairs.items():
-            read_share[r] += v
+        readers, writers = {r.id: r for r in self.readers}, {w.id: w for w in self.writers}
+        read_share, write_share = dict(self.share), dict.fromkeys(writers, 0.0)
+        for (_, w), v in self.pairs.items():
             write_share[w] += v
         work = {r: self.token_rate * self.gateways * m.cost / 1e6 for r, m in readers.items()}
         held = {w: (m.stream_tokens / self.memory_of(m), streams / self.memory_of(m)) for w, m in writers.items()}
@@ -380,11 +355,9 @@
         if prefix is not None:
             self.heat[prefix] = self.heat.get(prefix, 0) + 1
         self.mix[group][1] += tokens
-        if self.quota and req.tenant < len(self.quota):
-            self.quota_left[req.tenant] -= 1
-            if self.quota_left[req.tenant] < 0:
-                self.quota_left[req.tenant] = max(-self.quota[req.tenant], self.quota_left[req.tenant])
-                req.over = True
+        if req.tenant < len(self.quota):
+            self.quota_left[req.tenant] = max(-self.quota[req.tenant], self.quota_left[req.tenant] - 1)
+            req.over = self.quota_left[req.tenant] < 0
         if self.now + self.margin_us >= expires:
             return self.give_up(req)
         self.read(req)
@@ -399,8 +372,9 @@
         allowed = (req.target - self.now) * (0.5 if req.over else 0.8)
         # Never shed while the stage in question has nothing of this router's waiting: else what was learnt in
         # a jam is never learnt again and all is refused for good. The middle writer counts, not a hung one.
-        waits = sorted(min(1.5 * w.expect, w.unbegun / max(0.2, w.took) * 1e6) for w in writers)
-        wait = waits[len(waits) // 2] if waits and not reader.writes else 0
+        waits = [w.expect for w in writers if not reader.writes] or [0.0]
+        unbegun, began = sum(w.unbegun for w in writers), sum(w.took for w in writers)
+        wait = min(1.5 * sum(waits) / len(waits), unbegun / max(0.5, began) * 1e6)
         late = ready_us + wait > allowed and (reader.out_tokens > 0 or wait > allowed / 2)
         self.mode("shedding", late, f"read in {ready_us / MS:.0f} ms, wait {wait / MS:.0f}, allowed {allowed / MS:.0f}")
         if late and self.may_push_back(req):
@@ -461,13 +435,14 @@
         return self.now - next(iter(m.waiting.values()))[0] if m.waiting else 0
 
     def draw(self, weighted):
-        total = sum(w for _, w in weighted)
-        point = self.chance() * total
+        self.draws += 1
+        chance = crc32(b"%d/%d" % (self.seed, self.draws)) / 4294967296.0
+        point = chance * sum(w for _, w in weighted)
         for item, weight in weighted:
             point -= weight
             if point < 0:
-                return item
-        return weighted[-1][0]
+                break
+        return item
 
     # ---- the second stage
 
@@ -482,12 +457,9 @@
         if not usable:
             return None
         row = [(w, self.pairs.get((req.holder.id, w.id), FLOOR)) for w in usable]
-        drawn = self.draw(row)
-        best = max(v for _, v in row)
+        drawn, best = self.draw(row), max(v for _, v in row)
         near = [w for w, v in row if v >= NEAR * best and not w.suspect]
-        if drawn not in near:
-            return drawn
-        return min(near, key=lambda w: (w.stream_tokens / self.memory_of(w), w.id))
+        return min(near, key=lambda w: (w.stream_tokens / self.memory_of(w), w.id)) if drawn in near else drawn
 
     def may_forward(self, req, machine):
         """Effects: whether a repeat at this server can do no harm."""
@@ -552,9 +524,9 @@
             near = self.nearness(req.holder, machine)
             for i, v in enumerate((1, req.tokens, latency, req.tokens * latency, req.tokens * req.tokens)):
                 self.near[near][i] += v
-            machine.wait.add(max(0, latency - req.tokens * self.transfer[near]))
+            count(machine.wait, latency - req.tokens * self.transfer[near])
         elif stage == "direct":
-            machine.latency.add(latency)
+            count(machine.latency, latency)
             self.learn_cost(machine, latency, ahead)
             machine.out_tokens -= fresh
             req.forwards[number][4] = 0
@@ -573,9 +545,9 @@
             machine.told_us = report["queue"] / max(1.0, machine.took * self.gateways) * 1e6
             machine.told_at = self.now
         req = self.reqs.get(rid)
-        if req is None or number >= len(req.forwards) or not req.forwards[number][3]:
-            return
-        forward = req.forwards[number]
+        forward = req.forwards[number] if req is not None and number < len(req.forwards) else [None] * 4
+        if not forward[3]:
+            return  # late, twice, or of a req that was never here
         machine, stage, sent, _, fresh, ahead = forward
         forward[3] = False
         req.out -= 1
@@ -587,7 +559,7 @@
                 req.ran = [r for r in req.ran if r != (machine, sent)]
         if stage != "write":
             if code == "read":
-                machine.latency.add(latency)
+                count(machine.latency, latency)
                 if req.tokens - fresh > 100:
                     machine.trust += (min(1.0, (remark or 0) / (req.tokens - fresh)) - machine.trust) * 0.3
                 if (remark or 0) < (req.tokens - fresh) / 2:
@@ -604,7 +576,7 @@
         if code in FAILURES:
             self.mark(machine, 0.6 if code == "unreachable" else 0.3, f"{code} after {latency // MS} ms")
             if code == "timed_out":
-                (machine.wait if stage == "write" else machine.latency).add(latency)
+                count(machine.wait if stage == "write" else machine.latency, latency)
         elif code in ("done", "read"):
             self.good(machine)
         elif code == "full" and remark != 1:
@@ -638,15 +610,10 @@
             req.holder = None
         else:
             req.tried.add(machine.id)
-        self.spare -= 1
-        if self.spare < 0:
-            self.spare = 0.0
-            return self.give_up(req)
-        if req.holder is not None:
-            return self.write(req)
-        if req.ran and self.groups[req.group].effect == "non-replayable":
+        self.spare = max(-1.0, self.spare - 1)
+        if self.spare < 0 or req.ran and self.groups[req.group].effect == "non-replayable":
             return self.give_up(req)
-        self.read(req)
+        self.write(req) if req.holder is not None else self.read(req)
 
     def on_client_left(self, rid):
         req = self.reqs.get(rid)
