--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -16,23 +16,25 @@
 HALVE_EVERY = 8  # refreshes between two halvings of the histograms
 EDGES = [e * MS for e in (15, 25, 40, 60, 90, 130, 190, 270, 390, 560, 800, 1150, 1650, 2400, 3500, 5000)]
 MIDDLES = [10 * MS] + [(a + b) // 2 for a, b in zip(EDGES, EDGES[1:])] + [8000 * MS]
+NOTHING = [0.0] * len(MIDDLES)
 PRIOR = 2.0  # outcomes' worth of the fleet's average in each server's histogram
 COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 NEVER_RAN = ("full", "unreachable", "moot", "read")
 
 
-def count(bins, us):
+def counted(bins, us, weight=1):
     """Durations are measured in a few coarse bins, halved now and then."""
-    bins[bisect_left(EDGES, us)] += 1
+    at = bisect_left(EDGES, us)
+    return bins[:at] + [bins[at] + weight] + bins[at + 1:]
 
 
 class Machine:
     """What this router knows of one server."""
 
-    def __init__(self, row, roles):
+    def __init__(self, row, kinds):
         self.id, self.bad, self.suspect, self.trial_us, self.cold = row.id, 0.0, False, 0, False
-        self.latency, self.wait = [0.0] * len(MIDDLES), [0.0] * len(MIDDLES)  # reads; first tokens less transfer
+        self.latency, self.wait = NOTHING, NOTHING  # bins of reads, and of first tokens less transfer
         self.out_tokens = self.stream_tokens = 0  # own reads, own streams
         self.trust = 1.0  # part of the text believed kept here that reads did find
         self.cost = self.read_us = self.read_tokens = self.stream_us = self.finished = 0.0
@@ -41,21 +43,20 @@
         self.waiting, self.heard_us, self.busy_us = {}, 0, 0
         self.answered_us = 0  # when the latest-sent of the answered forwards was sent
         self.taken, self.took = 0, 0.0  # served since the last refresh, and a second on average
-        self.sends, self.kept, self.told_us, self.told_at = deque(), {}, 0, 0
-        self.listed(row, roles)
+        self.sends, self.kept, self.told_us, self.told_at = deque(maxlen=400), {}, 0, 0
+        self.listed(row, kinds)
 
-    def listed(self, row, roles):
+    def listed(self, row, kinds):
         self.zone, self.cell, self.kind, self.mode = row.zone, row.cell, row.kind, row.mode
         self.started_us = row.started_us
-        role = roles[row.kind] if row.kind < len(roles) else "both"
-        self.reads, self.writes = role in ("read", "both"), role in ("write", "both")
+        role, self.memory = kinds[min(row.kind, len(kinds) - 1)]
+        self.reads, self.writes = role != "write", role != "read"
 
 
 class Req:
-    def __init__(self, rid, group, tenant, tokens, now, expires, target, session, prefix, prefix_tokens):
+    def __init__(self, rid, group, tenant, tokens, now, expires, target):
         self.id, self.group, self.tenant, self.tokens = rid, group, tenant, tokens
         self.arrived, self.expires, self.target = now, expires, target
-        self.session, self.prefix, self.prefix_tokens = session, prefix, prefix_tokens
         self.forwards, self.out, self.tried = [], 0, set()  # out: how many have no outcome yet
         self.holder, self.begun, self.closed, self.over = None, None, False, False
         self.ran, self.fresh = [], tokens  # forwards that may have run; tokens to read
@@ -67,8 +68,9 @@
         family = settings["family_info"]
         self.seed, self.draws, self.groups = seed, 0, settings["groups"]
         self.gateways, self.zone = max(1, settings.get("balancers", 1)), settings.get("az", 0)
-        self.roles, self.most_forwards = family["duty_by_kind"], limits["max_attempts"]
-        self.memory = [max(1, m) / self.gateways for m in family["kind_memory_tokens"]]
+        self.most_forwards = limits["max_attempts"]
+        memory = [max(1, m) / self.gateways for m in family["kind_memory_tokens"]]
+        self.kinds = list(zip(family["duty_by_kind"], memory))  # role, and this router's part of memory
         self.far_price, self.cross_price = family.get("far_price", 0.0), prices.get("cross_zone", 0.0)
         self.come_back_us = limits.get("max_retry_after_us", 0) if limits.get("retry_after") else 0
         # What the response target allows a prompt token stands for its read cost until one is heard.
@@ -92,7 +94,6 @@
         self.read_mean = self.wait_mean = 0.0
         self.modes, self.started, self.now = {}, False, now_us
 
-    # ---- the round
 
     def round(self, now_us, events, out):
         self.now, self.out = now_us, out
@@ -109,7 +110,6 @@
             self.modes[name] = on
             self.out.log(f"{name} {'on' if on else 'off'}: {text}")
 
-    # ---- the list of servers
 
     def on_servers(self, kind, rows):
         self.subscribed = kind != "unavailable"
@@ -118,11 +118,12 @@
         for row in rows:
             machine = self.machines.get(row.id)
             if machine is None:
-                self.machines[row.id] = Machine(row, self.roles)
+                self.machines[row.id] = Machine(row, self.kinds)
                 continue
-            if row.started_us != machine.started_us:
-                self.forget(machine)
-            machine.listed(row, self.roles)
+            if row.started_us != machine.started_us:  # it has kept nothing, and its old troubles are over
+                machine.latency, machine.wait = NOTHING, NOTHING
+                machine.kept, machine.bad, machine.suspect = {}, 0.0, False
+            machine.listed(row, self.kinds)
         if kind != "update":
             named = {row.id for row in rows}
             for machine in self.machines.values():
@@ -131,20 +132,14 @@
         self.readers, self.writers = [m for m in ready if m.reads], [m for m in ready if m.writes]
         self.level_pairs()
 
-    @staticmethod
-    def forget(machine):
-        """A server that started anew has kept nothing, and its old troubles are over."""
-        machine.kept, machine.bad, machine.suspect = {}, 0.0, False
-        machine.latency, machine.wait = [0.0] * len(MIDDLES), [0.0] * len(MIDDLES)
-
     def level_pairs(self):
         """New pairs come in at the mean share; those that left give theirs up."""
         rows = [(r, [r] if r.writes else self.writers) for r in self.readers]
         old = [self.pairs[r.id, w.id] for r, row in rows for w in row if (r.id, w.id) in self.pairs]
         mean = sum(old) / len(old) if old else 0.0
-        pairs = {(r.id, w.id): self.pairs.get((r.id, w.id), mean or 1.0 / len(row)) for r, row in rows for w in row}
-        total = sum(pairs.values()) or 1.0
-        self.pairs = {p: v / total for p, v in pairs.items()}
+        new = {(r.id, w.id): mean or 1.0 / len(row) for r, row in rows for w in row}
+        total = sum(self.pairs.get(p, v) for p, v in new.items()) or 1.0
+        self.pairs = {p: self.pairs.get(p, v) / total for p, v in new.items()}
         self.sum_shares()
 
     def sum_shares(self):
@@ -153,14 +148,12 @@
         for (r, _), v in self.pairs.items():
             self.share[r] += v
 
-    # ---- scores and shares
 
     def on_timer(self, token):
         self.out.timer(REFRESH_US, 0)
         self.ticks += 1
         if self.asks and not self.subscribed and self.ticks % 4 == 0:
             self.out.watch(True)  # the call failed or the subscription broke
-        self.spare = min(10.0, self.spare + 0.5)
         self.token_rate += (self.read_tokens / (REFRESH_US / 1e6) - self.token_rate) * 0.2
         self.read_tokens = 0
         for i, q in enumerate(self.quota):
@@ -168,8 +161,9 @@
         for m in self.machines.values():
             m.took += (m.taken / (REFRESH_US / 1e6) - m.took) * 0.1
             m.taken = 0
-        for kind in range(len(self.roles)):  # remembered, for when all of a kind start at once
-            warm = [m.took for m in self.machines.values() if m.kind == kind and m.mode == "ready" and not m.cold]
+        for kind in range(len(self.kinds)):  # remembered, for when all of a kind start at once
+            of_kind = [m for m in self.readers + self.writers if m.kind == kind]
+            warm = [m.took for m in of_kind if not m.cold]
             self.kind_took[kind] = max(sum(warm) / max(1, len(warm)), self.kind_took.get(kind, 0.0) * 0.98)
         spent = sum(w.stream_us for w in self.writers) / max(1.0, sum(w.finished for w in self.writers))
         for w in self.writers:
@@ -180,7 +174,8 @@
             for m in self.machines.values():
                 m.latency, m.wait = [b / 2 for b in m.latency], [b / 2 for b in m.wait]
                 m.stream_us, m.finished = m.stream_us * 0.7, m.finished * 0.7
-            self.near, self.mix = ([[v / 2 for v in sums] for sums in table] for table in (self.near, self.mix))
+            self.near = [[v / 2 for v in sums] for sums in self.near]
+            self.mix = [[v / 2 for v in sums] for sums in self.mix]
             self.heat = {key: n / 2 for key, n in self.heat.items() if n > 0.5}
 
     def refresh(self):
@@ -189,19 +184,17 @@
             if n > 4 and spread > 0:
                 slope = (n * tl - t * l) / spread
                 self.transfer[i] = max(0.0, min(slope, l / t))
-        read = self.with_waits(self.readers, False)
-        wait = self.with_waits(self.writers, True)
-        for w in self.writers:
-            w.expect = wait[w.id][1]
-        self.read_mean, self.wait_mean = (sum(v[1] for v in t.values()) / max(1, len(t)) for t in (read, wait))
+        read, wait = self.with_waits(self.readers, False), self.with_waits(self.writers, True)
+        self.read_mean = sum(r.expect for r in self.readers) / max(1, len(self.readers))
+        self.wait_mean = sum(w.expect for w in self.writers) / max(1, len(self.writers))
         total = sum(m[0] for m in self.mix) or 1.0
         groups = [(m[0] / total, g.target_us + g.target_per_1000_us * m[1] / m[0] / 1000)
                   for m, g in zip(self.mix, self.groups) if m[0] > 0]
         tokens = sum(m[1] for m in self.mix) / total
-        sums = {w.id: list(accumulate(wait[w.id][0])) for w in self.writers}
+        sums = {w.id: list(accumulate(wait[w.id])) for w in self.writers}
         base = {}
         for r in self.readers:
-            bins = read[r.id][0]
+            bins = read[r.id]
             for w in ([r] if r.writes else self.writers):
                 near = self.nearness(r, w)
                 move = 0.0 if r is w else tokens * self.transfer[near]
@@ -225,12 +218,13 @@
             bins = [b + PRIOR * a for b, a in zip(m.wait if writing else m.latency, average)]
             mean = sum(b * mid for b, mid in zip(bins, MIDDLES)) / sum(bins)
             if writing and m.told_us > EDGES[0] and self.now - m.told_at < 2000 * MS:
-                bins[bisect_left(EDGES, m.told_us)] += PRIOR
+                bins = counted(bins, m.told_us, PRIOR)
             for sent, wr in m.waiting.values():
                 if wr == writing and self.now - sent > mean:
-                    bins[bisect_left(EDGES, self.now - sent)] += 1
+                    bins = counted(bins, self.now - sent)
             bins = [b / total for total in (sum(bins),) for b in bins]
-            out[m.id] = bins, sum(b * mid for b, mid in zip(bins, MIDDLES))
+            m.expect = sum(b * mid for b, mid in zip(bins, MIDDLES))
+            out[m.id] = bins
         return out
 
     @staticmethod
@@ -248,12 +242,12 @@
         for (_, w), v in self.pairs.items():
             write_share[w] += v
         work = {r: self.token_rate * self.gateways * m.cost / 1e6 for r, m in readers.items()}
-        held = {w: (m.stream_tokens / self.memory_of(m), streams / self.memory_of(m)) for w, m in writers.items()}
+        memory = {w: 2 * m.memory for w, m in writers.items()}
 
         def score(pair):
             r, w = pair
             own = readers[r].out_tokens * readers[r].cost / (1000 * MS)
-            used = (held[w][0] + held[w][1] * write_share[w]) / 2
+            used = (writers[w].stream_tokens + streams * write_share[w]) / memory[w]
             return base[pair] - 0.15 * (work[r] * read_share[r]) ** 2 - 0.1 * own - 0.4 * used * used
 
         for _ in range(MOVES):
@@ -273,11 +267,6 @@
     def nearness(r, w):
         return 0 if r.cell == w.cell else 1 if r.zone == w.zone else 2
 
-    def memory_of(self, machine):
-        return self.memory[machine.kind] if machine.kind < len(self.memory) else self.memory[-1]
-
-    # ---- health
-
     def look_for_silence(self):
         suspects = 0
         for m in self.machines.values():
@@ -292,16 +281,18 @@
                 self.take_back(m, True)
             suspects += m.suspect and m.mode == "ready"
         self.lost *= 0.8
-        self.mode("forwards lost", self.lost > 2, f"{self.lost:.1f} taken back lately, spare {self.spare:.1f}")
+        self.mode("forwards lost", self.lost > 2, f"{self.lost:.1f} taken back, spare {self.spare:.1f}")
         ready = len(self.readers) + len(self.writers)
-        self.mode("trouble in common", ready > 0 and suspects * 2 > ready, f"{suspects} suspects of {ready}")
+        self.mode("trouble in common", suspects * 2 > ready, f"{suspects} suspects of {ready}")
 
     def take_back(self, m, overtaken):
-        """Forwards that a silent server holds, or that later ones have overtaken there by far, are lost as
-        far as their clients go: a read has no effect, and a write is taken back where a repeat does no harm."""
+        """What a silent server holds, or later forwards have far overtaken there, is as good as lost: reads
+        have no effect, and writes are taken back where a repeat does no harm. Guards against messages that
+        vanish anywhere, and one stuck slot; could harm where a server answers out of order by habit."""
         for (rid, number), (sent, writing) in list(m.waiting.items()):
             req, age = self.reqs[rid], self.now - sent
-            if overtaken and (sent >= m.answered_us or age < max(400 * MS, 4 * (m.expect if writing else self.read_mean))):
+            usual = m.expect if writing else self.read_mean
+            if overtaken and (sent >= m.answered_us or age < max(400 * MS, 4 * usual)):
                 break
             direct = writing or req.forwards[number][1] == "direct"
             if req.closed or self.spare < 1 or len(req.forwards) >= self.most_forwards - 1 or (
@@ -332,26 +323,24 @@
         return True
 
     def cold_allows(self, m):
-        """This router's part of what a just-started server may be sent, against what warm ones of its kind get."""
+        """This router's part of what a just-started server may be sent, against what warm ones serve."""
         age = self.now - m.started_us
         m.cold = m.started_us > 0 and age < self.ramp_us * 1.2
         if not m.cold:
             return True
-        while m.sends and m.sends[0] < self.now - self.cold_window_us:
-            m.sends.popleft()
+        sent = sum(t >= self.now - self.cold_window_us for t in m.sends)
         mean = self.kind_took.get(m.kind, 0.0) * self.cold_window_us / 1e6
         level = self.cold_from + (1 - self.cold_from) * max(0.0, age / (self.ramp_us * 1.2))
-        return len(m.sends) < max(1.0, mean * min(1.0, self.cold_multiple * level * COLD_PART))
+        return sent < max(1.0, mean * min(1.0, self.cold_multiple * level * COLD_PART))
 
-    # ---- a req comes in
 
-    def on_req(self, rid, tokens, expires, session, prefix, prefix_tokens, most_out, hint, bits, tenant, group):
+    def on_req(self, rid, tokens, expires, session, prefix, prefix_tokens, _out, _hint, _bits, tenant, group):
         g = self.groups[group]
         target = self.now + g.target_us + g.target_per_1000_us * tokens // 1000
-        req = Req(rid, group, tenant or 0, tokens, self.now, expires, target, session, prefix, prefix_tokens or 0)
-        self.reqs[rid] = req
+        req = self.reqs[rid] = Req(rid, group, tenant or 0, tokens, self.now, expires, target)
+        req.session, req.prefix, req.prefix_tokens = session, prefix, prefix_tokens or 0
         self.mix[group][0] += 1
-        self.spare = min(10.0, self.spare + 0.3)
+        self.spare = min(10.0, self.spare + 0.4)
         if prefix is not None:
             self.heat[prefix] = self.heat.get(prefix, 0) + 1
         self.mix[group][1] += tokens
@@ -376,7 +365,8 @@
         unbegun, began = sum(w.unbegun for w in writers), sum(w.took for w in writers)
         wait = min(1.5 * sum(waits) / len(waits), unbegun / max(0.5, began) * 1e6)
         late = ready_us + wait > allowed and (reader.out_tokens > 0 or wait > allowed / 2)
-        self.mode("shedding", late, f"read in {ready_us / MS:.0f} ms, wait {wait / MS:.0f}, allowed {allowed / MS:.0f}")
+        figures = f"read in {ready_us / MS:.0f} ms, wait {wait / MS:.0f}, allowed {allowed / MS:.0f}"
+        self.mode("shedding", late, figures)
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us + wait - allowed / 2))
         kept, known = reader.kept, self.known(req, reader)
@@ -397,21 +387,23 @@
 
     def choose_reader(self, req):
         """The reader, and in what time its read should end."""
-        usable = [r for r in self.readers
-                  if self.usable(r, req) and (not r.writes or self.may_forward(req, r))]  # a direct one may run
+        usable = [r for r in self.readers  # a mixed one answers, so the effects rule holds for it
+                  if self.usable(r, req) and (not r.writes or self.may_forward(req, r))]
         if not usable:
             return None, 0
-        drawn = self.draw([(r, self.share.get(r.id, 0.0) + (0.05 if r.suspect else 0.0)) for r in usable])
+        drawn = self.draw([(r, self.share[r.id] + (0.05 if r.suspect else 0.0)) for r in usable])
         heard = [r.cost for r in self.readers if r.cost] or [self.start_cost]
         mean = sum(heard) / len(heard)
-        ends = {r.id: max((r.out_tokens + req.tokens - self.known(req, r) * r.trust) * (r.cost or mean), self.oldest(r))
-                for r in usable}
+        ends = {}
+        for r in usable:
+            ahead = r.out_tokens + req.tokens - self.known(req, r) * r.trust
+            ends[r.id] = max(ahead * (r.cost or mean), self.oldest(r))
         if drawn.suspect:
             return drawn, ends[drawn.id]
         allowed = max(0.25 * (req.target - req.arrived), min(ends.values()) * 1.1)
-        best = max(self.share.get(r.id, 0.0) for r in usable)
+        best = max(self.share[r.id] for r in usable)
         fit = [r for r in usable if ends[r.id] <= allowed and not r.suspect]
-        near = [r for r in fit if self.share.get(r.id, 0.0) >= NEAR * best]
+        near = [r for r in fit if self.share[r.id] >= NEAR * best]
         home = max(fit, key=lambda r: r.kept.get(req.session, 0), default=None)
         key = req.prefix if req.prefix is not None else req.session
         # A prefix with more than half a reader's part of the reqs is kept everywhere soon; its sessions are
@@ -420,14 +412,11 @@
             key = req.session
         if home is not None and req.session in home.kept:
             drawn = home
-        elif near and (drawn in near or drawn not in fit):
-            if key is None:
-                drawn = min(near, key=lambda r: ends[r.id])
-            else:
-                drawn = min(near, key=lambda r: -log((crc32(f"{key}/{r.id}".encode()) + 1) / 4294967297)
-                            / max(1e-9, self.share[r.id]))
-        elif drawn not in fit and fit:
-            drawn = min(fit, key=lambda r: ends[r.id])
+        elif near and key is not None and (drawn in near or drawn not in fit):
+            drawn = min(near, key=lambda r: -log((crc32(f"{key}/{r.id}".encode()) + 1) / 4294967297)
+                        / max(1e-9, self.share[r.id]))
+        elif fit and (drawn not in fit or key is None):
+            drawn = min(near or fit, key=lambda r: ends[r.id])
         return drawn, ends[drawn.id]
 
     def oldest(self, m):
@@ -444,7 +433,6 @@
                 break
         return item
 
-    # ---- the second stage
 
     def write(self, req):
         writer = self.choose_writer(req) if len(req.forwards) < self.most_forwards else None
@@ -459,7 +447,7 @@
         row = [(w, self.pairs.get((req.holder.id, w.id), FLOOR)) for w in usable]
         drawn, best = self.draw(row), max(v for _, v in row)
         near = [w for w, v in row if v >= NEAR * best and not w.suspect]
-        return min(near, key=lambda w: (w.stream_tokens / self.memory_of(w), w.id)) if drawn in near else drawn
+        return min(near, key=lambda w: w.stream_tokens / w.memory) if drawn in near else drawn
 
     def may_forward(self, req, machine):
         """Effects: whether a repeat at this server can do no harm."""
@@ -468,9 +456,9 @@
             return True
         if g.effect != "keyed":
             return False
-        scope = g.repeat_scope
-        return all(self.now - sent <= g.repeat_window_us - 50 * MS
-                   and (scope == "all" or getattr(first, scope) == getattr(machine, scope)) for first, sent in req.ran)
+        alike = {"zone": lambda m: m.zone, "cell": lambda m: m.cell}.get(g.repeat_scope, lambda m: 0)
+        return all(self.now - sent <= g.repeat_window_us - 50 * MS and alike(first) == alike(machine)
+                   for first, sent in req.ran)
 
     def may_push_back(self, req):
         g = self.groups[req.group]
@@ -490,23 +478,19 @@
         machine.waiting[req.id, number] = (self.now, stage == "write")
         machine.unbegun += stage == "write"
         machine.sends.append(self.now)
-        if len(machine.sends) > 400:
-            machine.sends.popleft()
         if machine.suspect:
             machine.trial_us = self.now + 1000 * MS
         self.out.forward(req.id, machine.id, max(MS, timeout))
 
-    def give_up(self, req, come_back_us=None):
+    def give_up(self, req, come_back_us=1 << 40):
         """The final answer at once, and whatever is held let go."""
         req.closed = True
         if self.may_push_back(req):
-            wanted = self.come_back_us if come_back_us is None else come_back_us
-            self.out.push_back(req.id, max(0, min(wanted, self.come_back_us)))
+            self.out.push_back(req.id, max(0, min(come_back_us, self.come_back_us)))
         else:
             self.out.abort(req.id)
         self.let_go(req)
 
-    # ---- what comes back
 
     def on_first(self, rid, server, latency, number):
         req = self.reqs.get(rid)
@@ -524,9 +508,9 @@
             near = self.nearness(req.holder, machine)
             for i, v in enumerate((1, req.tokens, latency, req.tokens * latency, req.tokens * req.tokens)):
                 self.near[near][i] += v
-            count(machine.wait, latency - req.tokens * self.transfer[near])
+            machine.wait = counted(machine.wait, latency - req.tokens * self.transfer[near])
         elif stage == "direct":
-            count(machine.latency, latency)
+            machine.latency = counted(machine.latency, latency)
             self.learn_cost(machine, latency, ahead)
             machine.out_tokens -= fresh
             req.forwards[number][4] = 0
@@ -559,7 +543,7 @@
                 req.ran = [r for r in req.ran if r != (machine, sent)]
         if stage != "write":
             if code == "read":
-                count(machine.latency, latency)
+                machine.latency = counted(machine.latency, latency)
                 if req.tokens - fresh > 100:
                     machine.trust += (min(1.0, (remark or 0) / (req.tokens - fresh)) - machine.trust) * 0.3
                 if (remark or 0) < (req.tokens - fresh) / 2:
@@ -575,8 +559,10 @@
         machine.taken += code == "read"
         if code in FAILURES:
             self.mark(machine, 0.6 if code == "unreachable" else 0.3, f"{code} after {latency // MS} ms")
-            if code == "timed_out":
-                count(machine.wait if stage == "write" else machine.latency, latency)
+            if code == "timed_out" and stage == "write":
+                machine.wait = counted(machine.wait, latency)
+            elif code == "timed_out":
+                machine.latency = counted(machine.latency, latency)
         elif code in ("done", "read"):
             self.good(machine)
         elif code == "full" and remark != 1:
