Effects rule binds new reads too; usual waits by the middle server; more trace tests

Cause: a rules search on a copy of a site with keyed groups scoped to a cell found a req read again outside the cell after a write that may have run. A hung reader among three was never suspect, since its own growing ages raised the mean that it was measured against; now the middle server counts. A restarted server's old sends no longer use up its budget.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -123,6 +123,7 @@
             if row.started_us != machine.started_us:  # it has kept nothing, and its old troubles are over
                 machine.latency, machine.wait = NOTHING, NOTHING
                 machine.kept, machine.bad, machine.suspect = {}, 0.0, False
+                machine.sends.clear()
             machine.listed(row, self.kinds)
         if kind != "update":
             named = {row.id for row in rows}
@@ -185,8 +186,9 @@
                 slope = (n * tl - t * l) / spread
                 self.transfer[i] = max(0.0, min(slope, l / t))
         read, wait = self.with_waits(self.readers, False), self.with_waits(self.writers, True)
-        self.read_mean = sum(r.expect for r in self.readers) / max(1, len(self.readers))
-        self.wait_mean = sum(w.expect for w in self.writers) / max(1, len(self.writers))
+        # The middle one: a hung server's growing ages must not raise what counts as usual.
+        self.read_mean = sorted([r.expect for r in self.readers] or [0.0])[(len(self.readers) - 1) // 2]
+        self.wait_mean = sorted([w.expect for w in self.writers] or [0.0])[(len(self.writers) - 1) // 2]
         total = sum(m[0] for m in self.mix) or 1.0
         groups = [(m[0] / total, g.target_us + g.target_per_1000_us * m[1] / m[0] / 1000)
                   for m, g in zip(self.mix, self.groups) if m[0] > 0]
@@ -291,7 +293,7 @@
         vanish anywhere, and one stuck slot; could harm where a server answers out of order by habit."""
         for (rid, number), (sent, writing) in list(m.waiting.items()):
             req, age = self.reqs[rid], self.now - sent
-            usual = m.expect if writing else self.read_mean
+            usual = self.wait_mean if writing else self.read_mean
             if overtaken and (sent >= m.answered_us or age < max(400 * MS, 4 * usual)):
                 break
             direct = writing or req.forwards[number][1] == "direct"
@@ -387,8 +389,8 @@
 
     def choose_reader(self, req):
         """The reader, and in what time its read should end."""
-        usable = [r for r in self.readers  # a mixed one answers, so the effects rule holds for it
-                  if self.usable(r, req) and (not r.writes or self.may_forward(req, r))]
+        # Once a write may have run, the effects rule binds where a new read goes, too.
+        usable = [r for r in self.readers if self.usable(r, req) and self.may_forward(req, r)]
         if not usable:
             return None, 0
         drawn = self.draw([(r, self.share[r.id] + (0.05 if r.suspect else 0.0)) for r in usable])
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -80,3 +80,80 @@
     assert [line.split()[0] for line in play.out.lines if line[0] != "-" and "shed" not in line] == [
         "forward", "forward", "push_back", "push_back"]
     check("shedding_cannot_lock_up", play)
+
+
+def test_keyed_is_read_again_only_inside_its_cell():
+    """Found by a rules search: after a write that may have run, a new read left the cell that drops repeats."""
+    play = Play("keyed", "cell", servers=("r0", "w2"))
+    play.at(5, ("servers", "update", [play.server("r1", cell=1), play.server("w3", cell=1), play.server("m4", cell=1)]))
+    play.at(10, play.req(1))
+    while play.sent()[-1][2][0] == "r":
+        play.at(play.now + 100, play.outcome(1, len(play.sent()) - 1, play.sent()[-1][2], "read"))
+    ran = play.sent()[-1][2]
+    play.at(play.now + 50, play.outcome(1, len(play.sent()) - 1, ran, "reset", 50))
+    if play.sent()[-1][2] != ran:
+        play.at(play.now + 50, play.outcome(1, len(play.sent()) - 1, play.sent()[-1][2], "full", 5, remark=1))
+    cell = {"r0": 0, "w2": 0, "r1": 1, "w3": 1, "m4": 1}
+    assert {cell[f[2]] for f in play.sent()[[f[2] for f in play.sent()].index(ran):]} == {cell[ran]}
+
+
+def test_overtaken_write_goes_elsewhere():
+    """A message that vanished: the server answers what came later, so the write is taken back in time."""
+    play = Play()
+    for i in range(4):
+        play.at(10 + i, play.req(i, prefix=f"c:{i}"))
+    for i in range(4):
+        play.at(100 + i, play.outcome(i, 0, [f for f in play.sent() if f[1] == str(i)][0][2], "read"))
+    lost, *others = [(int(f[1]), f[2]) for f in play.sent() if f[2][0] == "w"]
+    for rid, server in others:
+        play.at(150 + rid, ("first", rid, server, 45 * MS, 1))
+    play.at(400, ("timer", 0))
+    play.at(1200, ("timer", 0))
+    play.at(1205, play.outcome(lost[0], 1, lost[1], "cancelled", 1100))
+    check("overtaken_write", play)
+    assert play.sent("retract") == [["retract", str(lost[0]), "1"]] and play.sent()[-1][2] != lost[1]
+
+
+def test_hung_reader_is_left_and_its_reads_move():
+    """Silence shows before time-outs: the reader is suspect, and what it holds is read elsewhere."""
+    play = Play(servers=("r0", "r1", "r5", "w2"))
+    for i in range(6):
+        play.at(10 + i, play.req(i, prefix=f"c:{i}"))
+    hung = play.sent()[0][2]
+    for f in play.sent():
+        if f[2] != hung:
+            play.at(100, play.outcome(int(f[1]), 0, f[2], "read"), ("client_left", int(f[1])))
+    for ms in range(250, 2000, 250):
+        play.at(ms, ("timer", 0))
+    assert [line for line in play.out.lines if line.startswith(f"log suspect {hung} on: silent")]
+    taken = {int(r[1]) for r in play.sent("retract")}
+    assert taken == {int(f[1]) for f in play.sent() if f[2] == hung}
+
+
+def test_cold_server_gets_its_part():
+    """A server that just started is sent a thin part of what warm ones of its kind serve."""
+    play = Play(servers=("r0", "r1", "w2"))
+
+    def serve(i):
+        play.at(10 + 50 * i, play.req(i, prefix=f"c:{i}"))
+        play.at(12 + 50 * i, play.outcome(i, 0, play.sent()[-1][2], "read", 2))
+        play.at(14 + 50 * i, ("first", i, "w2", 2 * MS, 1), play.outcome(i, 1, "w2", "done", 2, True))
+        play.at(15 + 50 * i, ("timer", 0))
+
+    for i in range(60):
+        serve(i)
+    play.at(3010, ("servers", "update", [play.server("r1", started_us=3000 * MS)]))
+    before = len(play.sent())
+    for i in range(60, 80):
+        serve(i)
+    reads = [f[2] for f in play.sent()[before:] if f[2][0] == "r"]
+    assert 1 <= reads.count("r1") <= 4 < reads.count("r0")
+
+
+def test_restart_with_a_stale_list_spreads():
+    """No burst onto one server before anything is learnt."""
+    play = Play(servers=("r0", "r1", "r5", "w2", "w3"))
+    for i in range(9):
+        play.at(10, play.req(i, prefix=f"c:{i}"))
+    reads = [f[2] for f in play.sent()]
+    assert max(reads.count(r) for r in set(reads)) <= 5 and len(set(reads)) == 3
