--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -83,14 +83,11 @@
         self.quota_left = [2 * q for q in self.quota]
         self.machines, self.reqs, self.pairs = {}, {}, {}
         self.readers, self.writers, self.share = [], [], {}
-        self.near = [[0.0] * 5 for _ in range(3)]  # sums for the transfer cost: same cell, same zone, other
-        self.transfer = [0.0] * 3
+        self.transfer, self.near = [0.0] * 3, [[0.0] * 5] * 3  # same cell, same zone, other
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
-        self.kind_took = {}  # a second, by a warm server of the kind
-        self.heat = {}  # reqs seen lately, by shared prefix
+        self.kind_took, self.heat = {}, {}  # a second by a warm server of a kind; reqs by prefix
         self.token_rate, self.read_tokens, self.ticks, self.subscribed = 0.0, 0, 0, True
-        self.lost = 0.0  # forwards taken back lately
-        self.spare = 10.0  # further forwards that failures may still cause
+        self.lost, self.spare = 0.0, 10.0  # forwards taken back lately; further ones that failures may cause
         self.read_mean = self.wait_mean = 0.0
         self.modes, self.started, self.now = {}, False, now_us
 
@@ -366,7 +363,10 @@
         waits = [w.expect for w in writers if not reader.writes] or [0.0]
         unbegun, began = sum(w.unbegun for w in writers), sum(w.took for w in writers)
         wait = min(1.5 * sum(waits) / len(waits), unbegun / max(0.5, began) * 1e6)
-        late = ready_us + wait > allowed and (reader.out_tokens > 0 or wait > allowed / 2)
+        # Own part of every writer's memory full and writes waiting: a rush shows here before any wait is
+        # heard. Could harm where this router carries far more than its part, so it wants both.
+        full = not reader.writes and all(w.stream_tokens > w.memory and w.unbegun for w in writers)
+        late = full or ready_us + wait > allowed and (reader.out_tokens > 0 or wait > allowed / 2)
         figures = f"read in {ready_us / MS:.0f} ms, wait {wait / MS:.0f}, allowed {allowed / MS:.0f}"
         self.mode("shedding", late, figures)
         if late and self.may_push_back(req):
@@ -488,7 +488,7 @@
         """The final answer at once, and whatever is held let go."""
         req.closed = True
         if self.may_push_back(req):
-            self.out.push_back(req.id, max(0, min(come_back_us, self.come_back_us)))
+            self.out.push_back(req.id, min(max(100 * MS, come_back_us), self.come_back_us))
         else:
             self.out.abort(req.id)
         self.let_go(req)
@@ -508,8 +508,8 @@
         self.good(machine)
         if stage == "write" and req.holder is not None:
             near = self.nearness(req.holder, machine)
-            for i, v in enumerate((1, req.tokens, latency, req.tokens * latency, req.tokens * req.tokens)):
-                self.near[near][i] += v
+            seen = (1, req.tokens, latency, req.tokens * latency, req.tokens * req.tokens)
+            self.near[near] = [a + b for a, b in zip(self.near[near], seen)]
             machine.wait = counted(machine.wait, latency - req.tokens * self.transfer[near])
         elif stage == "direct":
             machine.latency = counted(machine.latency, latency)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -157,3 +157,14 @@
         play.at(10, play.req(i, prefix=f"c:{i}"))
     reads = [f[2] for f in play.sent()]
     assert max(reads.count(r) for r in set(reads)) <= 5 and len(set(reads)) == 3
+
+
+def test_rush_onto_full_writers_is_pushed_back():
+    """Own streams fill this router's part of every writer's memory while writes wait: no read is begun."""
+    play = Play(servers=("r0", "r1", "w2", "w3"))
+    for i in range(30):
+        play.at(10 + 20 * i, play.req(i, tokens=9000, prefix=f"c:{i}"))
+        if play.out.lines[-1].startswith("push_back"):
+            break
+        play.at(20 + 20 * i, play.outcome(i, 0, play.sent()[-1][2], "read", 10))
+    assert 20 <= i < 29 and play.sent("push_back")
