What a client that left still has out is taken back

Retracts are also guarded by the setting that allows them now; they were not, which would have been a fault elsewhere.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -20,7 +20,6 @@
 PRIOR = 2.0  # outcomes' worth of the fleet's average in each server's histogram
 COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
 FAILURES = ("error", "reset", "unreachable", "timed_out")
-NEVER_RAN = ("full", "unreachable", "moot", "read")
 
 
 def counted(bins, us, weight=1):
@@ -68,7 +67,7 @@
         family = settings["family_info"]
         self.seed, self.draws, self.groups = seed, 0, settings["groups"]
         self.gateways, self.zone = max(1, settings.get("balancers", 1)), settings.get("az", 0)
-        self.most_forwards = limits["max_attempts"]
+        self.most_forwards, self.may_cancel = limits["max_attempts"], limits.get("cancel", False)
         memory = [max(1, m) / self.gateways for m in family["kind_memory_tokens"]]
         self.kinds = list(zip(family["duty_by_kind"], memory))  # role, and this router's part of memory
         self.far_price, self.cross_price = family.get("far_price", 0.0), prices.get("cross_zone", 0.0)
@@ -154,8 +153,7 @@
             self.out.watch(True)  # the call failed or the subscription broke
         self.token_rate += (self.read_tokens / (REFRESH_US / 1e6) - self.token_rate) * 0.2
         self.read_tokens = 0
-        for i, q in enumerate(self.quota):
-            self.quota_left[i] = min(2 * q, self.quota_left[i] + q * REFRESH_US / 1e6)
+        self.quota_left = [min(2 * q, x + q * REFRESH_US / 1e6) for q, x in zip(self.quota, self.quota_left)]
         for m in self.machines.values():
             m.took += (m.taken / (REFRESH_US / 1e6) - m.took) * 0.1
             m.taken = 0
@@ -233,13 +231,13 @@
 
     def move_shares(self, base):
         """Shares go from the worst pair to the best, each move counted at once as load to come."""
-        if len(base) < 2:
+        if not base:
             return
-        streams = sum(w.stream_tokens for w in self.writers)
         readers, writers = {r.id: r for r in self.readers}, {w.id: w for w in self.writers}
         read_share, write_share = dict(self.share), dict.fromkeys(writers, 0.0)
         for (_, w), v in self.pairs.items():
             write_share[w] += v
+        streams = sum(w.stream_tokens for w in self.writers)
         work = {r: self.token_rate * self.gateways * m.cost / 1e6 for r, m in readers.items()}
         memory = {w: 2 * m.memory for w, m in writers.items()}
 
@@ -293,12 +291,12 @@
             usual = self.wait_mean if writing else self.read_mean
             if overtaken and (sent >= m.answered_us or age < max(400 * MS, 4 * usual)):
                 break
-            direct = writing or req.forwards[number][1] == "direct"
-            if req.closed or self.spare < 1 or len(req.forwards) >= self.most_forwards - 1 or (
-                    direct and (not overtaken or self.groups[req.group].effect != "replayable")):
-                continue
-            self.lost += 1
-            self.out.retract(rid, number)
+            no_effect = req.forwards[number][1] == "read"
+            again = self.may_cancel and self.spare >= 1 and len(req.forwards) < self.most_forwards - 1
+            if again and not req.closed and (
+                    no_effect or overtaken and self.groups[req.group].effect == "replayable"):
+                self.lost += 1
+                self.out.retract(rid, number)
 
     def mark(self, m, by, why):
         m.bad += (1 - m.bad) * by
@@ -367,8 +365,8 @@
         # heard. Could harm where this router carries far more than its part, so it wants both.
         full = not reader.writes and all(w.stream_tokens > w.memory and w.unbegun for w in writers)
         late = full or ready_us + wait > allowed and (reader.out_tokens > 0 or wait > allowed / 2)
-        figures = f"read in {ready_us / MS:.0f} ms, wait {wait / MS:.0f}, allowed {allowed / MS:.0f}"
-        self.mode("shedding", late, figures)
+        figures = [int(us) // MS for us in (ready_us, wait, allowed)]
+        self.mode("shedding", late, "read %d ms, wait %d, allowed %d" % tuple(figures))
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us + wait - allowed / 2))
         kept, known = reader.kept, self.known(req, reader)
@@ -467,7 +465,6 @@
         return g.effect == "replayable" or not req.ran or (g.effect == "keyed" and g.repeat_scope == "all")
 
     def send(self, req, machine, stage):
-        timeout = req.expires - self.now - self.margin_us
         number = len(req.forwards)
         ahead = machine.out_tokens + req.fresh if stage != "write" else 0
         req.forwards.append([machine, stage, self.now, True, req.fresh, ahead])
@@ -482,7 +479,7 @@
         machine.sends.append(self.now)
         if machine.suspect:
             machine.trial_us = self.now + 1000 * MS
-        self.out.forward(req.id, machine.id, max(MS, timeout))
+        self.out.forward(req.id, machine.id, max(MS, req.expires - self.now - self.margin_us))
 
     def give_up(self, req, come_back_us=1 << 40):
         """The final answer at once, and whatever is held let go."""
@@ -541,7 +538,7 @@
             machine.unbegun -= stage == "write"
         if stage != "read":
             machine.stream_tokens -= req.tokens
-            if code in NEVER_RAN:
+            if code in ("full", "unreachable", "moot"):  # proof that it never ran
                 req.ran = [r for r in req.ran if r != (machine, sent)]
         if stage != "write":
             if code == "read":
@@ -607,6 +604,9 @@
         req = self.reqs.get(rid)
         if req is not None:
             req.closed = True
+            for number, forward in enumerate(req.forwards):  # what nobody waits for must not take capacity
+                if forward[3] and number != req.begun and self.may_cancel:
+                    self.out.retract(rid, number)
             if not req.out:
                 self.let_go(req)
 
