Allowance bounded by the time at which clients are seen to leave

What else it should catch: impatience of any cause, as after a release. Harm: where those who leave differ from those who stay, the patient are pushed back too, so it acts above a tenth only.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -86,6 +86,7 @@
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
         self.kind_took, self.heat = {}, {}  # a second by a warm server of a kind; reqs by prefix
         self.token_rate, self.read_tokens, self.ticks, self.subscribed = 0.0, 0, 0, True
+        self.left, self.patience = 0.0, [g.target_us for g in self.groups]
         self.lost, self.spare = 0.0, 10.0  # forwards taken back lately; further ones that failures may cause
         self.read_mean = self.wait_mean = 0.0
         self.modes, self.started, self.now = {}, False, now_us
@@ -96,8 +97,6 @@
         if not self.started:
             self.started = True
             out.timer(REFRESH_US, 0)
-            if self.asks:
-                out.watch(True)
         for event in events:
             getattr(self, "on_" + event[0])(*event[1:])
 
@@ -108,8 +107,8 @@
 
 
     def on_servers(self, kind, rows):
-        self.subscribed = kind != "unavailable"
-        if not self.subscribed:
+        self.subscribed = kind in ("update", "replace")
+        if kind == "unavailable":
             return
         for row in rows:
             machine = self.machines.get(row.id)
@@ -140,7 +139,6 @@
         self.sum_shares()
 
     def sum_shares(self):
-        """X, the shares of the readers."""
         self.share = dict.fromkeys((r.id for r in self.readers), 0.0)
         for (r, _), v in self.pairs.items():
             self.share[r] += v
@@ -149,8 +147,8 @@
     def on_timer(self, token):
         self.out.timer(REFRESH_US, 0)
         self.ticks += 1
-        if self.asks and not self.subscribed and self.ticks % 4 == 0:
-            self.out.watch(True)  # the call failed or the subscription broke
+        if self.asks and not self.subscribed and self.ticks % 4 == 1:
+            self.out.watch(True)  # not asked yet, the call failed or the subscription broke
         self.token_rate += (self.read_tokens / (REFRESH_US / 1e6) - self.token_rate) * 0.2
         self.read_tokens = 0
         self.quota_left = [min(2 * q, x + q * REFRESH_US / 1e6) for q, x in zip(self.quota, self.quota_left)]
@@ -158,8 +156,7 @@
             m.took += (m.taken / (REFRESH_US / 1e6) - m.took) * 0.1
             m.taken = 0
         for kind in range(len(self.kinds)):  # remembered, for when all of a kind start at once
-            of_kind = [m for m in self.readers + self.writers if m.kind == kind]
-            warm = [m.took for m in of_kind if not m.cold]
+            warm = [m.took for m in self.readers + self.writers if m.kind == kind and not m.cold]
             self.kind_took[kind] = max(sum(warm) / max(1, len(warm)), self.kind_took.get(kind, 0.0) * 0.98)
         spent = sum(w.stream_us for w in self.writers) / max(1.0, sum(w.finished for w in self.writers))
         for w in self.writers:
@@ -231,8 +228,6 @@
 
     def move_shares(self, base):
         """Shares go from the worst pair to the best, each move counted at once as load to come."""
-        if not base:
-            return
         readers, writers = {r.id: r for r in self.readers}, {w.id: w for w in self.writers}
         read_share, write_share = dict(self.share), dict.fromkeys(writers, 0.0)
         for (_, w), v in self.pairs.items():
@@ -247,7 +242,7 @@
             used = (writers[w].stream_tokens + streams * write_share[w]) / memory[w]
             return base[pair] - 0.15 * (work[r] * read_share[r]) ** 2 - 0.1 * own - 0.4 * used * used
 
-        for _ in range(MOVES):
+        for _ in range(MOVES if base else 0):
             scores = {p: score(p) for p in base}
             best = max(scores, key=lambda p: scores[p])
             worst = min((p for p in scores if self.pairs[p] > FLOOR), key=lambda p: scores[p], default=best)
@@ -337,7 +332,7 @@
         req = self.reqs[rid] = Req(rid, group, tenant or 0, tokens, self.now, expires, target)
         req.session, req.prefix, req.prefix_tokens = session, prefix, prefix_tokens or 0
         self.mix[group][0] += 1
-        self.spare = min(10.0, self.spare + 0.4)
+        self.spare, self.left = min(10.0, self.spare + 0.4), self.left * 0.97
         if prefix is not None:
             self.heat[prefix] = self.heat.get(prefix, 0) + 1
         self.mix[group][1] += tokens
@@ -356,6 +351,8 @@
         if reader is None or not (reader.writes or writers):
             return self.give_up(req)
         allowed = (req.target - self.now) * (0.5 if req.over else 0.8)
+        if self.left > 0.1:  # clients leave sooner than they said: what takes longer is work for nobody
+            allowed = min(allowed, self.patience[req.group])
         # Never shed while the stage in question has nothing of this router's waiting: else what was learnt in
         # a jam is never learnt again and all is refused for good. The middle writer counts, not a hung one.
         waits = [w.expect for w in writers if not reader.writes] or [0.0]
@@ -602,13 +599,15 @@
 
     def on_client_left(self, rid):
         req = self.reqs.get(rid)
-        if req is not None:
-            req.closed = True
-            for number, forward in enumerate(req.forwards):  # what nobody waits for must not take capacity
-                if forward[3] and number != req.begun and self.may_cancel:
-                    self.out.retract(rid, number)
-            if not req.out:
-                self.let_go(req)
+        if req is None or req.closed:
+            return
+        req.closed, self.left = True, self.left + 0.03
+        self.patience[req.group] += (self.now - req.arrived - self.patience[req.group]) * 0.1
+        for number, forward in enumerate(req.forwards):  # what nobody waits for must not take capacity
+            if forward[3] and number != req.begun and self.may_cancel:
+                self.out.retract(rid, number)
+        if not req.out:
+            self.let_go(req)
 
     def ignore(self, *fields):
         """Places, probes and peers' messages: this module asks for none of them."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -169,3 +169,15 @@
             break
         play.at(20 + 20 * i, play.outcome(i, 0, play.sent()[-1][2], "read", 10))
     assert 20 <= i < 29 and play.sent("push_back")
+
+
+def test_clients_that_leave_early_bound_the_allowance():
+    """Clients give up sooner than they said: what would take longer is pushed back, not read for nobody."""
+    play = Play()
+    for i in range(12):
+        play.at(10 + 300 * i, play.req(i))
+        play.at(200 + 300 * i, ("client_left", i), play.outcome(i, 0, play.sent()[-1][2], "cancelled", 190))
+    for m in play.router.readers:
+        m.cost, m.out_tokens = 100.0, 3000
+    play.at(4000, play.req(50, prefix="c:b"))
+    assert play.sent("push_back")[-1][1] == "50" and 100 <= int(play.sent("push_back")[-1][2]) // MS <= 1000
