Answer length by endpoint group measures a writer's pace; full score of all deployments

The design asks for a running mean of answer length by endpoint group; it is kept as stream time, and a writer's pace is its stream time against what its answers should have taken.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -29,14 +29,12 @@
 
 
 class Machine:
-    """What this router knows of one server."""
-
     def __init__(self, row, kinds):
         self.id, self.bad, self.suspect, self.trial_us, self.cold = row.id, 0.0, False, 0, False
         self.latency, self.wait = NOTHING, NOTHING  # bins of reads, and of first tokens less transfer
         self.out_tokens = self.stream_tokens = 0  # own reads, own streams
         self.trust = 1.0  # part of the text believed kept here that reads did find
-        self.cost = self.read_us = self.read_tokens = self.stream_us = self.finished = 0.0
+        self.cost = self.read_us = self.read_tokens = self.stream_us = self.owed_us = 0.0
         self.pace, self.begun = 1.0, 0  # length of its streams against the fleet's, running ones too
         self.expect, self.unbegun = 0.0, 0  # writer's wait; writes out whose answer has not begun
         self.waiting, self.heard_us, self.busy_us = {}, 0, 0
@@ -86,6 +84,7 @@
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
         self.kind_took, self.heat = {}, {}  # a second by a warm server of a kind; reqs by prefix
         self.token_rate, self.read_tokens, self.ticks, self.subscribed = 0.0, 0, 0, True
+        self.answer_us = [0.0] * len(self.groups)  # answer length by group, as time
         self.left, self.patience = 0.0, [g.target_us for g in self.groups]
         self.lost, self.spare = 0.0, 10.0  # forwards taken back lately; further ones that failures may cause
         self.read_mean = self.wait_mean = 0.0
@@ -129,7 +128,6 @@
         self.level_pairs()
 
     def level_pairs(self):
-        """New pairs come in at the mean share; those that left give theirs up."""
         rows = [(r, [r] if r.writes else self.writers) for r in self.readers]
         old = [self.pairs[r.id, w.id] for r, row in rows for w in row if (r.id, w.id) in self.pairs]
         mean = sum(old) / len(old) if old else 0.0
@@ -158,15 +156,16 @@
         for kind in range(len(self.kinds)):  # remembered, for when all of a kind start at once
             warm = [m.took for m in self.readers + self.writers if m.kind == kind and not m.cold]
             self.kind_took[kind] = max(sum(warm) / max(1, len(warm)), self.kind_took.get(kind, 0.0) * 0.98)
-        spent = sum(w.stream_us for w in self.writers) / max(1.0, sum(w.finished for w in self.writers))
+        spent = (sum(w.stream_us for w in self.writers) or 1) / max(1, sum(w.owed_us for w in self.writers))
+        usual = sum(self.answer_us) / max(1, len(self.answer_us))
         for w in self.writers:
             w.stream_us += w.begun * REFRESH_US
-            w.pace = max(0.5, (w.stream_us + 2 * spent) / (w.finished + 2) / spent) if spent else 1.0
+            w.pace = max(0.5, (w.stream_us / spent + 2 * usual + MS) / (w.owed_us + 2 * usual + MS))
         self.refresh()
         if self.ticks % HALVE_EVERY == 0:
             for m in self.machines.values():
                 m.latency, m.wait = [b / 2 for b in m.latency], [b / 2 for b in m.wait]
-                m.stream_us, m.finished = m.stream_us * 0.7, m.finished * 0.7
+                m.stream_us, m.owed_us = m.stream_us * 0.7, m.owed_us * 0.7
             self.near = [[v / 2 for v in sums] for sums in self.near]
             self.mix = [[v / 2 for v in sums] for sums in self.mix]
             self.heat = {key: n / 2 for key, n in self.heat.items() if n > 0.5}
@@ -417,7 +416,6 @@
         return drawn, ends[drawn.id]
 
     def oldest(self, m):
-        """How long the first of the forwards waiting at a server has been out."""
         return self.now - next(iter(m.waiting.values()))[0] if m.waiting else 0
 
     def draw(self, weighted):
@@ -497,7 +495,7 @@
             machine.unbegun -= stage == "write"
         machine.heard_us, machine.answered_us = self.now, max(machine.answered_us, sent)
         machine.taken += 1
-        req.begun = number
+        req.begun, req.begun_us = number, self.now
         machine.begun += 1
         self.good(machine)
         if stage == "write" and req.holder is not None:
@@ -513,7 +511,6 @@
         req.holder = None
 
     def learn_cost(self, machine, latency, ahead):
-        """Microseconds for each token that was ahead of and in this read."""
         machine.read_us = machine.read_us * 0.85 + latency
         machine.read_tokens = machine.read_tokens * 0.85 + max(200, ahead)
         machine.cost = machine.read_us / machine.read_tokens
@@ -565,7 +562,10 @@
             machine.busy_us = self.now + 150 * MS
         if req.begun == number:
             machine.begun -= 1
-            machine.finished += code == "done"
+            if code == "done":
+                usual, took = self.answer_us[req.group], self.now - req.begun_us
+                self.answer_us[req.group] = usual + (took - usual) * 0.05 if usual else took
+                machine.owed_us += usual or took
         if code == "read":
             req.holder = machine
         req.closed = req.closed or bool(ended)
