--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -75,7 +75,7 @@
     """A cost learnt in a jam must not refuse everything once the jam is over."""
     play = Play()
     for m in play.router.readers:
-        m.cost = 1000.0
+        m.read_us, m.read_tokens = 1e9, 1e6
     for i in range(4):
         play.at(10 + i, play.req(i))
     assert [line.split()[0] for line in play.out.lines if line[0] != "-" and "shed" not in line] == [
@@ -178,6 +178,37 @@
         play.at(10 + 300 * i, play.req(i))
         play.at(200 + 300 * i, ("client_left", i), play.outcome(i, 0, play.sent()[-1][2], "cancelled", 190))
     for m in play.router.readers:
-        m.cost, m.out_tokens = 100.0, 3000
+        m.read_us, m.read_tokens, m.out_tokens = 1e8, 1e6, 3000
     play.at(4000, play.req(50, prefix="c:b"))
     assert play.sent("push_back")[-1][1] == "50" and 100 <= int(play.sent("push_back")[-1][2]) // MS <= 1000
+
+
+def test_many_gateways_share_one_cold_server():
+    """Each of many gateways may send less than one forward a window: together they keep the multiple."""
+    sent, early = 0, 0
+    for seed in range(40):
+        play = Play(servers=("r0", "r1", "w2"), seed=seed, balancers=40)
+        for i in range(40):  # one req a second each, all read by the warm ones
+            play.at(100 + 1000 * i, play.req(i, prefix=f"c:{seed}/{i}"))
+            if i == 29:
+                play.at(play.now, ("servers", "update", [play.server("r1", started_us=play.now * MS)]))
+            sent += i >= 30 and play.sent()[-1][2] == "r1"
+            early += i == 30 and play.sent()[-1][2] == "r1"
+            play.at(play.now + 50, play.outcome(i, 0, play.sent()[-1][2], "read", 50))
+            play.at(play.now + 50, ("first", i, "w2", 50 * MS, 1), play.outcome(i, 1, "w2", "done", 50, True))
+            play.at(play.now + 300, ("timer", 0))
+    assert 5 <= sent <= 150 and early <= 8  # of 400 reads in ten seconds; a warm server's part is 200, 20 at first
+
+
+def test_shares_do_not_know_the_size_of_the_fleet():
+    """A bad reader loses the same part of its share among 4 and among 40, and keeps a floor."""
+    left = []
+    for size in (4, 40):
+        play = Play(servers=[f"r{i}" for i in range(size)] + [f"w{i}" for i in range(size)])
+        play.router.machines["r0"].bad = 0.9
+        for i in range(20):
+            play.at(10 + 300 * i, play.req(i, prefix=f"c:{i}"))
+            play.at(100 + 300 * i, play.outcome(i, 0, play.sent()[-1][2], "read"), ("client_left", i))
+            play.at(200 + 300 * i, ("timer", 0))
+        left.append(play.router.share["r0"] * size)
+    assert all(0.1 < part < 0.5 for part in left) and abs(left[0] - left[1]) < 0.15
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -22,7 +22,7 @@
 class Play:
     """One router and its trace; `at(ms, event...)` is one round."""
 
-    def __init__(self, effect="replayable", scope="all", servers=("r0", "r1", "w2", "w3"), started_us=0, **changes):
+    def __init__(self, effect="replayable", scope="all", servers=("r0", "r1", "w2", "w3"), started_us=0, seed=7, **changes):
         group = EndpointGroup("chat", effect, scope, 5000 * MS, 1000 * MS, 40 * MS, 60 * MS, 1.0, 0.3)
         settings = {
             "balancers": 2, "az": 0, "me": 0, "resolution_us": 4 * MS, "groups": [group], "tenants": [],
@@ -34,7 +34,7 @@
             "penalties": {"cross_zone": 0.02}, "report": {"how": "off", "names": []},
             "family_info": {"duty_by_kind": ["read", "write", "both"], "kind_memory_tokens": [200000] * 3,
                             "far_price": 0.04, "let_go_by_us": 500 * MS, "resume": False}} | changes
-        self.router, self.out, self.now = Router(7, settings, 0), Recorder(), 0
+        self.router, self.out, self.now = Router(seed, settings, 0), Recorder(), 0
         self.at(0, ("servers", "restored", [self.server(s, started_us) for s in servers]))
 
     @staticmethod
