--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -3,7 +3,7 @@
 The ordinary path is the pair table and shares of docs/design.md; the rest guards it when things fail."""
 from bisect import bisect_left
 from itertools import accumulate
-from math import ceil
+from math import ceil, log
 from zlib import crc32
 
 import numpy as np
@@ -390,19 +390,19 @@
         if drawn.suspect:
             return drawn, ends[drawn.id]
         allowed = max(0.25 * (req.target - req.arrived), min(ends.values()) * 1.1)
-        best = max(self.share[r.id] for r in usable)
         fit = [r for r in usable if ends[r.id] <= allowed and not r.suspect]
-        near = [r for r in usable if self.share[r.id] >= NEAR * best and not r.suspect]
+        share = self.share[drawn.id]  # near the best if there is one kind; mixed servers have a share of their own
+        near = [r for r in usable if NEAR * share <= self.share[r.id] <= share / NEAR and not r.suspect]
         home = max(fit, key=lambda r: r.kept.get(req.session, 0), default=None)
         key = req.prefix if req.prefix is not None else req.session
         if home is not None and req.session in home.kept:
             drawn = home
-        elif near and key is not None and (drawn in near or drawn not in fit):
+        elif near and key is not None:
             # A prefix has two homes, a hot one so many that it takes half of none; its sessions spread over
             # them by a hash that every gateway shares. What fits at none goes on to as many more, the same
             # for all gateways, so that a jam does not scatter texts.
             homes = max(min(2, len(near) // 3), ceil(2 * len(near) * self.heat_of(key)))
-            near.sort(key=lambda r: crc32(f"{key}/{r.id}".encode()))
+            near.sort(key=lambda r: -log((crc32(f"{key}/{r.id}".encode()) + 1) / 2 ** 32) / self.share[r.id])
             ranked = sorted(near[:homes], key=lambda r: crc32(f"{req.session}/{r.id}".encode()))
             ranked += near[homes:2 * homes]
             drawn = next((r for r in ranked if r in fit), None) or min(ranked, key=lambda r: ends[r.id])
