--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -144,7 +144,7 @@
         pairs = self.joint[np.ix_(self.r_at, self.w_at)]
         pairs[pairs == 0] = pairs[pairs > 0].mean() if pairs.any() else 1.0
         self.pairs = pairs * self.open / ((pairs * self.open).sum() or 1.0)
-        self.share = dict(zip(self.row, self.pairs.sum(axis=1).tolist()))
+        self.share = dict(zip(self.row, np.maximum(self.pairs.sum(axis=1), 1e-9).tolist()))
         for _ in range(0 if self.moved_us else 12):  # by what is known without outcomes
             self.refresh()
         self.moved_us = self.moved_us or self.now
@@ -262,7 +262,7 @@
                 step = min(STEP * equal, flat[w] - FLOOR * equal * 0.9)
                 flat[w] -= step
                 flat[b] += step
-        self.share = dict(zip(self.row, self.pairs.sum(axis=1).tolist()))
+        self.share = dict(zip(self.row, np.maximum(self.pairs.sum(axis=1), 1e-9).tolist()))
 
     def look_for_silence(self):
         """What a silent server holds, or later forwards have far overtaken there, is as good as lost: reads
@@ -361,7 +361,7 @@
         full = not reader.writes and all(w.stream_tokens > w.memory and w.waiting for w in writers)
         some = reader.out_tokens > 0 or self.reads_out * self.gateways > len(self.readers)
         late = full or ready_us + wait > allowed and (some or wait > allowed / 2)
-        self.mode("shedding", late, f"read {ready_us // MS} ms, wait {wait // MS} of {allowed // MS}")
+        self.mode("shedding", late, "read %d ms, wait %d of %d" % (ready_us / MS, wait / MS, allowed / MS))
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us + wait - allowed / 2))
         kept, known = reader.kept, self.known(req, reader)
@@ -391,7 +391,7 @@
             return drawn, ends[drawn.id]
         allowed = max(0.25 * (req.target - req.arrived), min(ends.values()) * 1.1)
         fit = [r for r in usable if ends[r.id] <= allowed and not r.suspect]
-        share = self.share[drawn.id]  # near the best if there is one kind; mixed servers have a share of their own
+        share = self.share[drawn.id]  # the best or near it; mixed servers have shares of their own
         near = [r for r in usable if NEAR * share <= self.share[r.id] <= share / NEAR and not r.suspect]
         home = max(fit, key=lambda r: r.kept.get(req.session, 0), default=None)
         key = req.prefix if req.prefix is not None else req.session
