Ranks of homes follow the shares where own reads tell little; idle routers still spread

Change: streams are taken as a third of memory at least; a kind's read cost follows the last four reads; the rank's weight is the share to a power that falls to nought at four own reads a reader.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -81,13 +81,12 @@
         self.kind_took = [[0.0, 1.0] for _ in self.kinds]  # served by warm servers of a kind, their seconds
         self.kind_cost = [[0.0, 0.0] for _ in self.kinds]  # read time and tokens lately
         self.heat = {}  # reqs by prefix
-        self.pause_us = 1000 * MS  # between trials of a suspect: they stay a small part of what is sent
         self.read_tokens, self.read_span, self.reads_out, self.subscribed = 0.0, MS, 0, True
         self.news, self.timer, self.moved_us, self.halved_us = 0, False, 0, now_us
         self.seen, self.ask_us, self.failing = 0, 0, 0.0  # outcomes since halving; part that fail
         self.answer_us = [0.0] * len(self.groups)  # answer length, as time
         self.left, self.patience, self.spare = 0.0, [g.target_us for g in self.groups], 10.0
-        self.read_mean, self.wait_mean, self.modes, self.now = 0.0, 0.0, {}, now_us
+        self.read_mean, self.wait_mean, self.modes, self.now, self.pause_us = 0.0, 0.0, {}, now_us, 1000 * MS
 
 
     def round(self, now_us, events, out):
@@ -129,8 +128,7 @@
             np.pad(t, (0, more)) for t in (self.taken, self.took, self.stream_us, self.owed_us, self.begun))
         self.level_pairs()
 
-    def level_pairs(self):
-        """New pairs start at the mean share; a mixed server writes itself what it reads."""
+    def level_pairs(self):  # new pairs at the mean share; a mixed server writes itself what it reads
         ready = [m for m in self.machines.values() if m.mode == "ready"]
         sides = self.readers, self.writers = [m for m in ready if m.reads], [m for m in ready if m.writes]
         self.row, self.column = ({m.id: i for i, m in enumerate(side)} for side in sides)
@@ -221,8 +219,7 @@
         value *= np.outer([1 - r.bad for r in self.readers], [1 - w.bad for w in self.writers])
         self.move_shares(value - self.price)
 
-    def with_waits(self, machines, table, at, writing):
-        """Bins as parts of 1, leaning on the kind's, and means; what is out counts by its age."""
+    def with_waits(self, machines, table, at, writing):  # parts of 1, leaning on the kind's; ages count
         bins, kinds = table[at], np.array([m.kind for m in machines])
         whole = bins.sum(axis=0)
         whole = whole / whole.sum() if whole.sum() else (MIDDLES == MIDDLES[0]) * 1.0
@@ -241,7 +238,8 @@
 
     def move_shares(self, base):  # each move counted at once as load to come
         equal, taking = 1.0 / self.open.sum(), max(1, round(self.open.sum() / ROUND))
-        streams = sum(w.stream_tokens for w in self.writers)
+        # A third of memory at least, so that an idle router still spreads.
+        streams = max(sum(w.stream_tokens for w in self.writers), sum(w.memory for w in self.writers) / 3)
         cost = np.array([self.cost_of(r) for r in self.readers])
         work = self.read_tokens * self.gateways / self.read_span * cost
         memory = 2 * np.array([w.memory for w in self.writers])
@@ -269,8 +267,7 @@
         have no effect, and writes are taken back where a repeat does no harm. Guards against messages that
         vanish anywhere, and one stuck slot; could harm where a server answers out of order by habit."""
         suspects = sum(m.suspect and m.mode == "ready" for m in self.machines.values())
-        ready = len(self.readers) + len(self.writers)
-        self.mode("trouble in common", suspects * 2 > ready, f"{suspects} suspects of {ready}")
+        self.mode("trouble in common", suspects * 2 > len({*self.row, *self.column}), f"{suspects} suspects")
         for m in [m for m in self.machines.values() if m.waiting]:
             most = 2 * m.out_tokens * self.cost_of(m)
             for (rid, number), (sent, writing) in list(m.waiting.items()):
@@ -357,7 +354,7 @@
         waits = [self.expect.get(w.id, 0.0) for w in writers if not reader.writes] or [0.0]
         unbegun, began = sum(len(w.waiting) for w in writers), self.took[self.w_at].sum()
         wait = min(1.5 * sum(waits) / len(waits), unbegun / max(0.5, began) * 1e6)
-        # A rush shows before any wait is heard. Could harm a router with far more than its part of the load.
+        # A rush shows before any wait is heard; could harm a router with far more than its part.
         full = not reader.writes and all(w.stream_tokens > w.memory and w.waiting for w in writers)
         some = reader.out_tokens > 0 or self.reads_out * self.gateways > len(self.readers)
         late = full or ready_us + wait > allowed and (some or wait > allowed / 2)
@@ -393,18 +390,19 @@
         fit = [r for r in usable if ends[r.id] <= allowed and not r.suspect]
         share = self.share[drawn.id]  # the best or near it; mixed servers have shares of their own
         near = [r for r in usable if NEAR * share <= self.share[r.id] <= share / NEAR and not r.suspect]
-        home = max(fit, key=lambda r: r.kept.get(req.session, 0), default=None)
+        home = max(fit, key=lambda r: r.kept.get(req.session, 0), default=drawn)
         key = req.prefix if req.prefix is not None else req.session
-        if home is not None and req.session in home.kept:
+        if req.session in home.kept and home in fit:
             drawn = home
         elif near and key is not None:
             # A prefix has two homes, a hot one so many that it takes half of none; its sessions spread over
             # them by a hash that every gateway shares. What fits at none goes on to as many more, the same
             # for all gateways, so that a jam does not scatter texts.
+            # Ranks follow the shares the more, the less this router's own reads tell of each reader.
+            by = max(0.0, 1 - self.reads.sum() / (4 * len(self.readers)))
             homes = max(min(2, len(near) // 3), ceil(2 * len(near) * self.heat_of(key)))
-            near.sort(key=lambda r: -log((crc32(f"{key}/{r.id}".encode()) + 1) / 2 ** 32) / self.share[r.id])
-            ranked = sorted(near[:homes], key=lambda r: crc32(f"{req.session}/{r.id}".encode()))
-            ranked += near[homes:2 * homes]
+            near.sort(key=lambda r: -log(1 - self.hash(key, r)) / self.share[r.id] ** by)
+            ranked = sorted(near[:homes], key=lambda r: self.hash(req.session, r)) + near[homes:2 * homes]
             drawn = next((r for r in ranked if r in fit), None) or min(ranked, key=lambda r: ends[r.id])
         elif drawn not in fit or key is None:
             drawn = min(near or usable, key=lambda r: ends[r.id])
@@ -421,6 +419,9 @@
         kind = us / tokens if tokens else self.start_cost
         return (r.read_us + 1000 * kind) / (r.read_tokens + 1000)
 
+    def hash(self, key, r):
+        return crc32(f"{key}/{r.id}".encode()) / 4294967296.0
+
     def chance(self):
         self.draws += 1
         return crc32(b"%d/%d" % (self.seed, self.draws)) / 4294967296.0
@@ -513,7 +514,7 @@
         machine.read_us = machine.read_us * 0.85 + latency
         machine.read_tokens = machine.read_tokens * 0.85 + max(200, ahead)
         sums = self.kind_cost[machine.kind]
-        sums[:] = sums[0] * 0.9 + latency, sums[1] * 0.9 + max(200, ahead)
+        sums[:] = sums[0] * 0.75 + latency, sums[1] * 0.75 + max(200, ahead)
 
     def on_outcome(self, rid, number, server, code, latency, ended, remark, report):
         machine = self.machines.get(server)
