What fits nowhere stays at its first home; while late only a part of the gateways try

Change: a req that fits at none of the ranked readers stays at its first home; with no own read out a late req is let through by chance, four reads a reader over all gateways.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -356,8 +356,8 @@
         wait = min(1.5 * sum(waits) / len(waits), unbegun / max(0.5, began) * 1e6)
         # A rush shows before any wait is heard; could harm a router with far more than its part.
         full = not reader.writes and all(w.stream_tokens > w.memory and w.waiting for w in writers)
-        some = reader.out_tokens > 0 or self.reads_out * self.gateways > len(self.readers)
-        late = full or ready_us + wait > allowed and (some or wait > allowed / 2)
+        mine = max(self.reads_out, self.chance() / 4) * self.gateways > len(self.readers)
+        late = full or ready_us + wait > allowed and (reader.out_tokens > 0 or mine or wait > allowed / 2)
         self.mode("shedding", late, "read %d ms, wait %d of %d" % (ready_us / MS, wait / MS, allowed / MS))
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us + wait - allowed / 2))
@@ -403,7 +403,7 @@
             homes = max(min(2, len(near) // 3), ceil(2 * len(near) * self.heat_of(key)))
             near.sort(key=lambda r: -log(1 - self.hash(key, r)) / self.share[r.id] ** by)
             ranked = sorted(near[:homes], key=lambda r: self.hash(req.session, r)) + near[homes:2 * homes]
-            drawn = next((r for r in ranked if r in fit), None) or min(ranked, key=lambda r: ends[r.id])
+            drawn = next((r for r in ranked if r in fit), None) or ranked[0]
         elif drawn not in fit or key is None:
             drawn = min(near or usable, key=lambda r: ends[r.id])
         return drawn, ends[drawn.id]
