A read whose answer was lost may go back to the reader that keeps its text

Cause: while most servers lose a part of their answers, each lost read was read anew, in full, by a reader that kept nothing of it, so retries multiplied the reading. Change: a reader that reset a read may be tried again for it while over a tenth of all forwards fail.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -330,7 +330,7 @@
         req = self.reqs[rid] = Req(rid, group, tenant or 0, tokens, self.now, expires, target)
         req.session, req.prefix, req.prefix_tokens = session, prefix, prefix_tokens or 0
         self.mix[group] = [self.mix[group][0] + 1, self.mix[group][1] + tokens]
-        self.spare, self.left = min(10.0, self.spare + 0.4), self.left * 0.97
+        self.spare, self.left = min(10.0, self.spare + 0.6), self.left * 0.97
         if prefix is not None:
             self.heat[prefix] = self.heat.get(prefix, 0) + 1
             if sum(self.heat.values()) > 80:
@@ -588,8 +588,8 @@
             return self.give_up(req)
         if code == "full" and stage == "write" and remark == 1:
             req.holder = None
-        else:
-            req.tried.add(machine.id)
+        elif stage != "read" or code != "reset" or self.failing < 0.1:
+            req.tried.add(machine.id)  # where answers get lost all over, its reader still keeps the text
         self.spare = max(-1.0, self.spare - 1)
         if self.spare < 0 or req.ran and self.groups[req.group].effect == "non-replayable":
             return self.give_up(req)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -212,3 +212,13 @@
             play.at(200 + 300 * i, ("timer", 0))
         left.append(play.router.share["r0"] * size)
     assert all(0.1 < part < 0.5 for part in left) and abs(left[0] - left[1]) < 0.15
+
+
+def test_lost_answers_send_a_read_back_to_its_text():
+    """Where answers get lost all over, the reader that read keeps the text: it may be asked again."""
+    play = Play(servers=("r0", "w2"))
+    for failing, ends in ((0.3, "forward"), (0.0, "push_back")):
+        play.router.failing = failing
+        play.at(play.now + 10, play.req(play.now))
+        play.at(play.now + 50, play.outcome(play.now - 10, 0, "r0", "reset"))
+        assert play.out.lines[-1].startswith(ends), play.out.lines
