The appliance: supervisor, admin socket with diagnosis, terminal console

Operators' drains are a third voice in the membership, caps on tenants a module of admission; /metrics of the gateway.

Tested in a pseudo-terminal against the gateway's own counts and the boxes' records: resized to 20x5 and back, hung up, stopped while reqs run, ten at once, gateway and supervisor killed. Found by these tests: a supervisor overwrote what it had to read about processes that outlived the one before; a taken port counted as bad settings, so that it was never tried again.

--- a/lapiswing/cli/demo.py
+++ b/lapiswing/cli/demo.py
@@ -26,9 +26,8 @@
 {boxes}"""
 
 
-def run_demo(port, count):
-    if count < 2:
-        raise Stop("--boxes: at least 2, a reader and a writer")
+def write_demo(port, count):
+    """-> the paths of settings and fleet, in a new folder."""
     readers = max(1, count * 2 // 5)
     rows = [(f"127.0.0.1:{p}", "read" if i < readers else "write") for i, p in enumerate(free_ports(count))]
     folder = Path(tempfile.mkdtemp(prefix="lapiswing-demo-"))
@@ -39,10 +38,19 @@
         f'box {{ id: "{i}" kind: "{"prefill" if role == "read" else "decode"}" zone: "a" cell: "a" }}\n'
         for i, role in rows))
     (folder / "settings.txtpb").write_text(text)
+    return folder / "settings.txtpb", folder / "fleet.json"
+
+
+def run_demo(port, count):
+    if count < 2:
+        raise Stop("--boxes: at least 2, a reader and a writer")
+    readers = max(1, count * 2 // 5)
+    file, fleet = write_demo(port, count)
+    folder = file.parent
     from lapiswing.gateway.serve import Gateway
     from lapiswing.observe import start_logs
-    gateway = Gateway(load_text(text, str(folder / "settings.txtpb")), start_logs("info"))
-    child = subprocess.Popen([sys.executable, "-m", "lapiswing", "standin", str(folder / "fleet.json")],
+    gateway = Gateway(load_text(file.read_text(), str(file)), start_logs("info"))
+    child = subprocess.Popen([sys.executable, "-m", "lapiswing", "standin", str(fleet)],
                              stdout=subprocess.PIPE, env=os.environ)
     try:
         if not child.stdout.readline():
--- a/lapiswing/cli/main.py
+++ b/lapiswing/cli/main.py
@@ -7,6 +7,7 @@
 import click
 
 from lapiswing import __version__
+from lapiswing.cli.site import act, console, down, status, up
 from lapiswing.cli.transfer import Stop, add_keys, transfer
 
 
@@ -65,7 +66,9 @@
 
 @main.command()
 @click.argument("file", type=click.Path(dir_okay=False))
-def serve(file):
+@click.option("--admin-folder", type=click.Path(file_okay=False), help="Where the admin sockets and the audit log go, if the "
+              "settings do not say.")
+def serve(file, admin_folder):
     """Run one gateway in the foreground.
 
     SIGTERM or Ctrl-C drains it: no new reqs, running ones end. A second one stops it at once. SIGHUP reads the
@@ -73,6 +76,10 @@
     from lapiswing.gateway.serve import Gateway
     from lapiswing.observe import start_logs
     settings = read_settings(file)
+    if admin_folder:
+        for field, name in (("path", "gateway.sock"), ("control_path", "control.sock"), ("audit_file", "audit.jsonl")):
+            if not getattr(settings.admin, field):
+                setattr(settings.admin, field, str(Path(admin_folder).resolve() / name))
     log = start_logs(settings.log.level, settings.log.format, gateway=settings.gateway.name)
     gateway = Gateway(settings, log, base=str(Path(file).parent))
     run(gateway)
@@ -83,7 +90,8 @@
         gateway.start()
     except OSError as problem:
         listen = gateway.settings.listen
-        raise Stop(f"can't listen on {listen.host}:{listen.port}: {problem.strerror}") from None
+        where = problem.filename or f"{listen.host}:{listen.port}"
+        raise click.ClickException(f"can't listen on {where}: {problem.strerror or problem}") from None
     gateway.watch_signals()
     # What was loaded at start is never garbage, and a full collection over thousands of open streams stops all of them
     # for tens of milliseconds: it is made rare. What a req leaves behind is freed by counting, cycles by the young ones.
@@ -222,7 +230,8 @@
 
 
 add_keys(keys)
-main.add_command(transfer)
+for command in (transfer, status, console, act, up, down):
+    main.add_command(command)
 
 
 @main.command()
--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -16,9 +16,11 @@
 
 import orjson
 
+from lapiswing.admission.caps import Caps
 from lapiswing.chat import Assembler
 from lapiswing.engine.client import address_of
 from lapiswing.gateway import resume
+from lapiswing.gateway.tally import Tally
 from lapiswing.policy import Router
 
 MS = 1000
@@ -75,6 +77,7 @@
         self.answer = Answer(spec.key is not None)
         self.paused = False
         self.first_us = self.backstop = None
+        self.held_us = None  # since when a state is held without a forward being out
         self.trail, self.part = [], 0  # for the log line; tokens written before the present part
 
 
@@ -83,7 +86,7 @@
                  router=Router):
         """`settings`: the checked message; `roles`: kind number -> read, write or both."""
         self.loop, self.engine, self.membership, self.repeats, self.lines = loop, engine, membership, repeats, log
-        self.limits, self.groups = settings.limits, settings.group
+        self.settings, self.limits, self.groups = settings, settings.limits, settings.group
         self.facts = router_settings["groups"]
         self.margin_us = self.limits.margin_ms * MS
         self.roles, self.name = roles, name
@@ -91,7 +94,8 @@
         self.kinds = {}  # box -> kind, also of those that have left the list
         self.draining, self.on_idle, self.open = False, None, 0
         self.counts = {"taken": 0, "done": 0, "pushed back": 0, "aborted": 0, "left": 0, "joined": 0, "replayed": 0,
-                       "not taken": 0, "forwards": 0, "resumed": 0, "backstop": 0, "faults": 0}
+                       "not taken": 0, "forwards": 0, "resumed": 0, "backstop": 0, "faults": 0, "capped": 0}
+        self.tally, self.caps, self.on_change = Tally(), Caps(), None
         self.round_us = self.rounds = 0
         self.router = router(seed, router_settings, loop.clock.now_us())
         loop.after.append(self.turn)
@@ -103,6 +107,11 @@
         now = self.loop.clock.now_us()
         if self.draining or self.open >= self.limits.open_reqs:
             return self.refuse(listener)
+        stay_us = self.caps.allows(now, spec.tenant)
+        if stay_us is not None:
+            self.counts["capped"] += 1
+            self.tally.tenant(spec.tenant)["capped"] += 1
+            return self.refuse(listener, stay_us)
         if spec.key is not None:
             fact = self.facts[spec.group]
             wide = {"replayable": "always", "keyed": "boxes" if fact.repeat_scope == "all" else ""}.get(fact.effect, "")
@@ -134,6 +143,9 @@
         self.reqs[req.rid] = req
         self.counts["taken"] += 1
         self.open += 1
+        tenant = self.tally.tenant(spec.tenant)
+        tenant["taken"] += 1
+        tenant["open"] += 1
         self.ask(req, 2 if spec.key is not None and spec.entry.sent_us is not None else 0)
         return req
 
@@ -145,9 +157,10 @@
         self.events.append(("req", req.rid, req.tokens, req.expires_us, spec.session, spec.prefix,
                             spec.prefix_tokens, spec.max_out, None, bits, spec.tenant, spec.group))
 
-    def refuse(self, listener):
+    def refuse(self, listener, stay_us=None):
         self.counts["not taken"] += 1
-        listener.on_pushed_back(self.limits.max_come_back_ms * MS)
+        most = self.limits.max_come_back_ms * MS
+        listener.on_pushed_back(most if stay_us is None else min(most, stay_us))
 
     def play(self, answer, listener):
         if isinstance(answer, tuple):
@@ -247,6 +260,8 @@
         stage = "write" if req.state else "read" if role == "read" else "direct"
         out = req.outs[number] = Out(server, stage, now)
         self.counts["forwards"] += 1
+        self.tally.sent(server)
+        req.held_us = None
         spec = req.spec
         key = None
         if stage != "read" and self.facts[spec.group].effect == "keyed":
@@ -330,6 +345,11 @@
 
     def log(self, text):
         self.lines.info("mode", text=text)
+        self.changed("mode", text=text)
+
+    def changed(self, kind, /, **fields):
+        if self.on_change is not None:
+            self.on_change(kind, **fields)
 
     # ---- from boxes
 
@@ -346,11 +366,13 @@
         req.backstop.cancel()
         req.state = None  # its writer has fetched it
         req.trail.append(f"{out.stage} {out.server} first {(now - out.sent_us) // MS}")
+        self.tally.began(out.server, now - out.sent_us)
         self.events.append(("first", rid, out.server, now - out.sent_us, number))
         for other in [n for n in req.outs if n != number]:
             self.take_back(req, other, "cancelled")
         if not req.streaming:
             req.streaming, req.first_us = True, now
+            self.tally.first.add(now - req.taken_us)
             for listener in list(req.listeners):
                 listener.on_begin()
 
@@ -401,11 +423,14 @@
         forward, begun = out.forward, number == req.begun
         latency = now - out.sent_us
         req.trail.append(f"{out.stage} {out.server} {code} {latency // MS}")
+        self.tally.came(out.server, out.stage, code, latency, report)
         if code == "read":
             # How long it would take again: a read that found most of its text kept does not tell.
             fresh = req.tokens - (forward.cached or 0)
             again_us = latency * req.tokens // fresh if fresh * 4 > req.tokens else None
             req.state = (out.server, forward.params, forward.name, again_us)
+        if req.state is not None and not req.outs:
+            req.held_us = now
         elif out.stage == "read" and code not in ("full", "unreachable"):
             # It may have left a state behind that nobody will name again.
             self.engine.release(out.server, forward.name)
@@ -474,6 +499,10 @@
         req.backstop.cancel()
         now = self.loop.clock.now_us()
         self.open -= 1
+        tenant = self.tally.tenant(req.spec.tenant)
+        tenant["open"] -= 1
+        tenant[how] += 1
+        tenant["tokens"] += req.answer.assembler.tokens
         if how in self.counts and how != "left":
             self.counts[how] += 1
         entry = req.spec.entry
@@ -507,6 +536,8 @@
             return
         for row in news[2]:
             self.kinds[row.id] = row.kind
+            self.tally.box(row.id).listed(row.started_us)
+            self.changed("box", box=row.id, mode=row.mode, why=self.membership.why(row.id))
         self.events.append(news)
         self.lines.info("boxes", kind=news[1], ready=sum(r.mode == "ready" for r in self.membership.told.values()),
                       rows=[f"{r.id} {r.mode}" for r in news[2]][:20])
--- a/lapiswing/gateway/serve.py
+++ b/lapiswing/gateway/serve.py
@@ -4,6 +4,7 @@
 import time
 from pathlib import Path
 
+from lapiswing.admin.serve import Admin
 from lapiswing.admission import Repeats
 from lapiswing.engine import Engine
 from lapiswing.gateway.core import Core
@@ -45,6 +46,7 @@
             l.head_bytes, l.body_bytes, l.head_ms * MS, l.body_ms * MS, l.idle_ms * MS, l.stall_ms * MS,
             connections=l.connections))
         self.listener, self.stamp, self.signals = None, None, 0
+        self.list_fault = self.admin = None
         self.unix_offset_us = self.loop.clock.now_us() - time.time_ns() // 1000
 
     def unix_to_us(self, ms):
@@ -65,6 +67,9 @@
         if self.settings.boxes_file:
             self.loop.call_later(self.settings.boxes_poll_ms * MS, self.poll)
         self.loop.call_later(1000 * MS, self.ask)
+        if s_admin(self.settings.admin):
+            self.admin = Admin(self, self.log)
+            self.admin.start()
         self.log.info("listening", host=l.host, port=self.port, boxes=len(self.core.membership.told))
 
     def rows(self, boxes):
@@ -87,10 +92,10 @@
             boxes = load_boxes(path.read_text(), str(path), [k.name for k in self.settings.kind])
         except (OSError, UnicodeDecodeError, SettingsError) as problem:
             if self.stamp != "bad":
-                self.stamp = "bad"
+                self.stamp, self.list_fault = "bad", str(problem)
                 self.log.error("boxes file can't be read; the last list stands", why=str(problem))
             return
-        self.stamp = stamp
+        self.stamp, self.list_fault = stamp, None
         self.core.list_boxes(self.rows([*self.settings.box, *boxes]))
 
     def ask(self):
@@ -110,6 +115,7 @@
         self.drain()
 
     def drain(self):
+        self.core.changed("gateway", text="draining")
         self.log.info("draining", open=self.core.open, limit_ms=self.settings.gateway.drain_limit_ms)
         self.server.drain()
         limit_us = self.settings.gateway.drain_limit_ms * MS
@@ -146,3 +152,9 @@
         self.server.close()
         self.sessions.close()
         self.pool.close()
+        if self.admin:
+            self.admin.close()
+
+
+def s_admin(settings):
+    return settings.path or settings.control_path or settings.port
--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -186,9 +186,9 @@
         self.sweep_timer = loop.call_later(1_000_000, self.sweep)
 
     def request(self, address, method, target, fields, body, handler, fresh=False):
-        """`address` is (host, port). With `fresh` no kept connection is used: the answer to a request on a kept one
+        """`address` is (host, port), or a Unix socket's path. With `fresh` no kept connection is used: the answer to a request on a kept one
         that the server closes in the same instant is lost, though it may have run."""
-        host = b"%b:%d" % (address[0].encode(), address[1])
+        host = b"localhost" if isinstance(address, str) else b"%b:%d" % (address[0].encode(), address[1])
         fields = [(b"host", host), *fields]
         if body or method == b"POST":
             fields.append((b"content-length", b"%d" % len(body)))
--- a/lapiswing/lab/plan.py
+++ b/lapiswing/lab/plan.py
@@ -81,7 +81,7 @@
              f"max_come_back_ms: {day.max_come_back_ms} }}",
              f"rules {{ drain_grace_ms: {day.grace_ms} cold_from: {day.cold_from} ramp_ms: {day.ramp_ms} "
              f"fall_multiple: {day.fall_multiple} overload_ms: {day.overload_ms} let_go_ms: {day.let_go_ms} }}",
-             'log { level: "info" format: "json" }', 'tenant { name: "demo" api_key: "demo" }']
+             'log { level: "info" format: "json" }', f'admin {{ path: "gateway{index}.sock" }}', 'tenant { name: "demo" api_key: "demo" }']
     for g in day.groups:
         lines.append(
             f'group {{ name: "{g.name}" model: "{g.name}" effect: {g.effect} repeat_scope: {g.scope} '
--- a/lapiswing/lab/run.py
+++ b/lapiswing/lab/run.py
@@ -5,6 +5,7 @@
 import sys
 import tempfile
 import time
+from datetime import datetime
 from pathlib import Path
 
 import orjson
@@ -205,7 +206,20 @@
                 "rules": [{"rule": r.name, "cases": r.cases, "worst": round(r.worst, 3), "limit": r.limit,
                            "unit": r.unit, "broken": r.broken} for r in found["rules"]],
                 "seen": found["seen"], "missing": missing, "died": self.died, "unended": left,
-                "notes": day.notes, "folder": str(self.folder)}
+                "notes": day.notes, "folder": str(self.folder), "findings": self.findings()}
+
+    def findings(self):
+        """What the gateways' diagnosis said, in ms of the day."""
+        out = []
+        for i in self.gateways:
+            for line in (self.folder / f"gateway{i}.log").read_bytes().splitlines():
+                if b'"event":"finding"' not in line and b'"event": "finding"' not in line:
+                    continue
+                row = orjson.loads(line)
+                unix_us = datetime.fromisoformat(row["timestamp"]).timestamp() * 1e6
+                out.append({"gateway": i, "ms": round((unix_us - self.unix_offset_us - self.t0) / MS), "what": row["what"],
+                            "kind": row["kind"], "subject": row.get("subject", "")})
+        return out
 
 
 def rename(day, names):
--- a/lapiswing/loop/net.py
+++ b/lapiswing/loop/net.py
@@ -105,14 +105,16 @@
 
 
 class connect:
-    """Opens a connection; then `done(stream, None)` or `done(None, why)`, never from within this call. `make` builds the
+    """Opens a connection to (host, port) or a Unix path; then `done(stream, None)` or `done(None, why)`, never from within this call. `make` builds the
     stream on the connected socket."""
 
     def __init__(self, loop, address, timeout_us, done, make=Stream):
         self.loop, self.done, self.sock, self.make = loop, done, None, make
         self.timer = None
         try:
-            self.sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+            family = (socket.AF_UNIX if isinstance(address, str) else
+                      socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
+            self.sock = socket.socket(family, socket.SOCK_STREAM)
             self.sock.setblocking(False)
             code = self.sock.connect_ex(address)
         except OSError as problem:
--- a/lapiswing/settings/load.py
+++ b/lapiswing/settings/load.py
@@ -33,6 +33,7 @@
     "sessions": {"per_tenant": 1000, "total": 4000, "reqs": 64, "session_bytes": 262144, "total_bytes": 256 << 20,
                  "message_bytes": 4 << 20, "resume_ms": 15000, "idle_ms": 600000, "ping_ms": 20000, "stall_ms": 30000,
                  "spread_ms": 5000},
+    "admin": {"host": "127.0.0.1"},
     "log": {"level": "info", "format": "text"},
 }
 GROUP_DEFAULTS = {"target_ms": 1500, "target_per_1000_ms": 40, "token_target_ms": 60, "deadline_ms": 10000,
@@ -256,6 +257,17 @@
             yield f"kind[{i}].memory_tokens", "is missing"
         if kinds.count(k.name) > 1:
             yield f"kind[{i}].name", f"{k.name!r} stands twice"
+    if s.admin.port:
+        if not s.admin.key and not s.admin.control_key:
+            yield "admin.key", "a port without a key is open to everybody who reaches it"
+        if s.admin.port > 65535 or s.admin.port == s.listen.port:
+            yield "admin.port", f"{s.admin.port} is not a port of its own"
+    for name in ("key", "control_key"):
+        for i, key in enumerate(getattr(s.admin, name)):
+            if len(key) < 16:
+                yield f"admin.{name}[{i}]", "is shorter than 16 characters"
+    if s.admin.path and s.admin.path == s.admin.control_path:
+        yield "admin.control_path", "is the same as path: whoever may look could act"
     for i, key in enumerate(s.sessions.token_key):
         try:
             Fernet(key)
