An embedded store: checked frames, group commit, recovery, compaction

What a gateway must remember across a restart needs a place that survives a crash at the worst moment.

--- /dev/null
+++ b/lapiswing/store/__init__.py
@@ -0,0 +1,12 @@
+"""A small embedded store: keys and values in an append-only log. docs/store-format.md has the files and the recovery.
+
+    format    bytes <-> frames, segment heads, manifest, hints; pure
+    index     what the log says: keys, expiry, order, snapshots; pure
+    files     the file layer, and one that loses what was not synced
+    engine    opening, group commit, compaction
+    tools     verify, dump, compact, repair"""
+from lapiswing.store.engine import Engine, StoreError
+from lapiswing.store.files import Files
+from lapiswing.store.work import Inline, Worker
+
+__all__ = ["Engine", "Files", "Inline", "StoreError", "Worker"]
