What outlives a restart, background tasks, boxes found by records

Idempotency keys, operators' drains and caps were forgotten when a gateway was restarted or killed. Intents are put down in the store before the first forward that may have an effect (while the req is read); answers are given again after a restart; calls with a key are pushed back while the store can't write.

--- /dev/null
+++ b/benchmarks/store.py
@@ -0,0 +1,124 @@
+"""The store: puts a second by durability, recovery, space, and what compaction costs reqs.
+
+    python -m benchmarks.store [--part puts|recovery|space|all] [--folder FOLDER]
+
+puts       durable puts one by one and 64 at a time, puts that nobody waits for, beside a bare write+fdatasync loop of the same sizes
+recovery   opening with 1 million keys, with and without hints
+space      bytes on the disk for each byte that counts, over 200,000 puts on 5,000 keys with compaction as the gateway runs it"""
+import os
+import shutil
+import tempfile
+import time
+
+import click
+
+from lapiswing.loop import Clock, Loop
+from lapiswing.store import Engine, Files, Inline, Worker
+from lapiswing.tasks import Tasks
+
+VALUE = os.urandom(120)
+S = 1_000_000
+
+
+def bare(folder, seconds=2.0):
+    fd = os.open(os.path.join(folder, "bare"), os.O_CREAT | os.O_WRONLY)
+    data, n, end = VALUE + b"x" * 60, 0, time.perf_counter() + seconds
+    while time.perf_counter() < end:
+        os.write(fd, data)
+        os.fdatasync(fd)
+        n += 1
+    os.close(fd)
+    return n / seconds
+
+
+def puts(folder):
+    rows = []
+    base = bare(folder)
+    rows.append(("bare write and fdatasync, one by one", base))
+    for what, waiting, durable in (("durable, one by one", 1, True), ("durable, 64 waiting", 64, True),
+                                   ("durable, 1000 waiting", 1000, True), ("without syncs, 64 waiting", 64, False)):
+        loop = Loop(Clock())
+        where = tempfile.mkdtemp(dir=folder)
+        engine = Engine(Files(where), Worker(loop), durable=durable).open()
+        count, over = [0], [False]
+
+        def again(why, engine=engine, count=count, over=over):
+            assert why is None, why
+            count[0] += 1
+            if not over[0]:
+                engine.put([(b"k%d" % (count[0] % 10_000), VALUE, 0)], again)
+        start = time.perf_counter()
+        for i in range(waiting):
+            engine.put([(b"s%d" % i, VALUE, 0)], again)
+        loop.run_until(lambda: time.perf_counter() - start > 2.0, 10 * S)
+        rate = count[0] / (time.perf_counter() - start)
+        over[0] = True
+        groups = engine.counts["groups"] / (time.perf_counter() - start)
+        engine.close()
+        loop.close()
+        rows.append((f"{what} ({groups:.0f} groups a second)", rate))
+    for what, rate in rows:
+        click.echo(f"puts  {what}: {rate:.0f} a second, {rate / base:.2f} of bare")
+
+
+def recovery(folder, n=1_000_000):
+    where = os.path.join(folder, "million")
+    engine = Engine(Files(where), Inline(), durable=False).open()
+    start = time.perf_counter()
+    for at in range(0, n, 500):
+        engine.put([(b"k/key-%07d" % i, VALUE[:60], 0) for i in range(at, at + 500)])
+    click.echo(f"recovery  filled with {n} keys in {time.perf_counter() - start:.1f} s, {sum(engine.sizes.values()) >> 20} MiB, "
+               f"{len(engine.segments)} segments")
+    engine.close()
+    for what in ("with hints", "without hints"):
+        if what == "without hints":
+            for name in os.listdir(where):
+                if name.endswith(".hint"):
+                    os.unlink(os.path.join(where, name))
+        start = time.perf_counter()
+        engine = Engine(Files(where), Inline()).open()
+        took = time.perf_counter() - start
+        assert len(engine.index.keys) == n
+        click.echo(f"recovery  {what}: {took:.2f} s, {engine.counts['hints used']} hints used")
+        engine.close()
+
+
+def space(folder):
+    loop = Loop(Clock())
+    tasks = Tasks(loop)
+    engine = Engine(Files(os.path.join(folder, "space")), Worker(loop), segment_bytes=1 << 20, durable=False).open()
+    worst, seen, job = 0.0, [], []
+    for i in range(200_000):
+        engine.put([(b"k/%d" % (i * 7919 % 5000), VALUE, 0)])
+        if i % 50 == 0:
+            loop.turn(0)
+        if i % 2000 == 0:
+            if engine.wants_compaction() and not tasks.running:
+                job.append(tasks.add("compaction", engine.compact(), priority=7, share=0.1))
+            if i > 20_000:
+                ratio = sum(engine.sizes.values()) / engine.index.bytes
+                seen.append(ratio)
+                worst = max(worst, ratio)
+    click.echo(f"space  {sum(seen) / len(seen):.2f} bytes on the disk for each that counts, at most {worst:.2f}; "
+               f"{engine.counts['compacted']} segments compacted, {engine.counts['copied']} records copied of 200000 put")
+    engine.close()
+    loop.close()
+
+
+@click.command()
+@click.option("--part", default="all")
+@click.option("--folder", help="Where to measure; a folder on the disk in question.")
+def main(part, folder):
+    """The embedded store."""
+    place = tempfile.mkdtemp(prefix="lapiswing-store-", dir=folder)
+    click.echo(f"# {os.cpu_count()} cores, on {place}")
+    try:
+        for name, work in (("puts", puts), ("recovery", recovery), ("space", space)):
+            if part in (name, "all"):
+                work(place)
+    finally:
+        shutil.rmtree(place, ignore_errors=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/lapiswing/admin/diagnosis.py
+++ b/lapiswing/admin/diagnosis.py
@@ -62,6 +62,9 @@
     "holds": "look at the holders named; a release that is not answered is sent again",
     "restarts": "look at that box's last words; it dies soon after it is started",
     "gateway restarts": "read its last words in the state folder's gateway.log; report what it does not explain",
+    "records doubted": "look at the name servers and at who writes their records; if the boxes are truly gone, wait",
+    "records silent": "look at the name servers: `lapiswing dns query NAME PTR --server HOST:PORT`",
+    "store": "make room; after any other fault restart the gateway, and `lapiswing store verify` its folder",
     "disk": "delete old logs and records, or make room",
     "overloaded": "more gateways, or a faster machine: this process is late for its own sockets",
     "open reqs": "look why boxes are slow; raise limits.open_reqs only if memory allows",
@@ -283,6 +286,16 @@
                        "this gateway is started again and again" if often else "this gateway was started again",
                        f"{len(starts) - 1} times in the last 10 minutes, last because it {facts['last_end'] or 'was gone'}",
                        DO["gateway restarts"], True)
+        for source in facts["doubts"]:
+            yield Sign("records doubted", source, WARNING, "a source lost most of its boxes at once, and is not believed for now",
+                       "what it named before stands", DO["records doubted"], True)
+        for source, state, problem in facts["records"]:
+            if state != "good":
+                yield Sign("records silent", source, WARNING, "no name server answers" + (
+                    "; what was last known stands" if state == "stale" else ""), problem or "", DO["records silent"])
+        if facts["store"] and facts["store"][0] != "good":
+            yield Sign("store", "", SERIOUS, "what must outlive a restart can't be written: calls with a key are pushed back",
+                       f"{facts['store'][0]}: {facts['store'][1]}", DO["store"])
         for name, free in facts["disks"].items():
             if free < 0.05:
                 yield Sign("disk", name, SERIOUS if free < 0.01 else WARNING, "the disk is nearly full",
--- a/lapiswing/admin/facts.py
+++ b/lapiswing/admin/facts.py
@@ -22,6 +22,7 @@
 
     def boxes(self):
         core, now = self.core, self.core.loop.clock.now_us()
+        words = core.membership.explain()
         machines = getattr(core.router, "machines", {})
         ramp = self.gateway.settings.rules.ramp_ms * MS
         out = {}
@@ -29,7 +30,8 @@
             tally, machine = core.tally.box(name), machines.get(name)
             report = tally.report
             out[name] = {
-                "role": self.role(row.kind), "mode": row.mode, "why": core.membership.why(name), "zone": row.zone,
+                "role": self.role(row.kind), "mode": row.mode, "why": core.membership.why(name), "words": words.get(name),
+                "zone": row.zone,
                 "cell": row.cell, "kind": core.settings.kind[row.kind].name, "out": tally.out, "codes": dict(tally.codes),
                 "last": tally.last, "first_us": tally.first_us, "read_us": tally.read_us, "fail_us": tally.fail_us,
                 "starts": tally.starts, "cold": bool(row.started_us) and now - row.started_us < ramp,
@@ -89,6 +91,9 @@
             "read_wait_us": float(getattr(router, "read_mean", 0)), "write_wait_us": float(getattr(router, "wait_mean", 0)),
             "first_p50_ms": core.tally.first.at(0.5), "first_p99_ms": core.tally.first.at(0.99),
             "starts_unix_ms": self.starts, "unix_ms": time.time_ns() // 1_000_000, "last_end": self.last_end,
+            "doubts": core.membership.doubts(), "records": [] if gateway.discovery is None else [
+                (s, gateway.discovery.states.get(s, "none"), b.problem) for s, b in gateway.discovery.browsers.items()],
+            "store": None if gateway.store is None else (gateway.store.mode, gateway.store.why),
             "list_fault": gateway.list_fault, "disks": disks}
 
     def note_turn(self):
--- a/lapiswing/admin/serve.py
+++ b/lapiswing/admin/serve.py
@@ -1,6 +1,6 @@
 """The admin socket. docs/console.md describes the messages.
 
-It never makes the gateway wait: snapshots are built in slices under a budget per turn of the loop and shared by all who ask at about
+It never makes the gateway wait: snapshots are built as background tasks, in slices, and shared by all who ask at about
 the same time; a reader that does not read is given no more than its small buffer, and finds out from the feed's numbers what it
 missed. Reading is one right; acting on the gateway another, with a socket or a key of its own, and each act is written to the
 audit log before it is done."""
@@ -25,7 +25,6 @@
 
 MS = 1000
 VERSION = 1
-BUDGET_US = 300  # of building in one turn of the loop
 FRESH_US = 200 * MS  # a snapshot so old is given again
 LOOK_US = 1000 * MS
 MODES_KEPT = 200
@@ -70,10 +69,10 @@
         self.settings = gateway.settings.admin
         self.facts, self.diagnosis, self.feed = Facts(gateway), Diagnosis(), Feed()
         self.modes, self.started_us = deque(maxlen=MODES_KEPT), self.loop.clock.now_us()
-        self.last, self.jobs, self.cache, self.waiting = None, deque(), {}, {}
+        self.last, self.cache, self.waiting = None, {}, {}
         self.listeners, self.servers, self.audit, self.closed = [], [], None, False
         self.metrics = Metrics(self.measures)
-        self.scanning, self.readers = None, 0
+        self.scanning, self.readers = False, 0
         self.core.on_change = self.changed
 
     def start(self):
@@ -86,7 +85,7 @@
             self.serve(listen_socket(s.host, s.port), self.right_by_key)
         if s.audit_file:
             self.audit = open(os.path.join(base, s.audit_file), "a", encoding="utf-8")
-        self.loop.after.append(self.turn)
+        self.loop.after.append(self.facts.note_turn)
         self.changed("gateway", text=f"started, process {os.getpid()}")
         self.look()
 
@@ -108,7 +107,9 @@
 
     def look(self):
         self.timer = self.loop.call_later(LOOK_US, self.look)
-        self.scanning = self.scanning or self.facts.scan()
+        if not self.scanning:
+            self.scanning = True
+            self.gateway.tasks.add("scan of holds", self.facts.scan(), priority=2, done=self.scanned)
         self.core.tally.first.halve() if self.feed.seq and self.halves() else None
         facts = self.last = self.facts.take()
         for what, found in self.diagnosis.look(facts):
@@ -119,6 +120,9 @@
                       oldest_hold_ms=facts["oldest_hold_us"] // MS, first_p50_ms=facts["first_p50_ms"],
                       first_p99_ms=facts["first_p99_ms"], lag_us=facts["lag_us"])
 
+    def scanned(self, _problem):
+        self.scanning = False
+
     looks = 0
 
     def halves(self):
@@ -134,25 +138,6 @@
             self.modes.append({"unix_ms": ms, "type": kind, **fields})
         self.feed.put(ms, kind, **fields)
 
-    def turn(self):
-        """Works on what is asked for, for a small part of a turn."""
-        self.facts.note_turn()
-        if not self.jobs and self.scanning is None:
-            return
-        end = self.loop.clock.now_us() + BUDGET_US
-        while self.loop.clock.now_us() < end:
-            if self.scanning is not None:
-                if next(self.scanning, self) is self:
-                    self.scanning = None
-            elif self.jobs:
-                job = self.jobs.popleft()
-                if next(job, self) is not self:
-                    self.jobs.append(job)  # each in its turn
-            else:
-                return
-        if self.jobs or self.scanning is not None:
-            self.loop.soon(nothing)
-
     # ---- requests
 
     def app(self, exchange, right):
@@ -207,7 +192,11 @@
         if line is not None:
             return line.append(exchange)
         self.waiting[wanted] = [exchange]
-        self.jobs.append(self.build(wanted))
+        self.gateway.tasks.add("snapshot", self.build(wanted), priority=1, done=lambda problem: self.not_built(wanted, problem))
+
+    def not_built(self, wanted, problem):
+        for exchange in self.waiting.pop(wanted, ()) if problem else ():
+            self.error(exchange, 500, f"no snapshot: {problem}")
 
     def build(self, wanted):
         out = [orjson.dumps(self.head())[:-1]]
@@ -236,6 +225,15 @@
             out.append(b',"tenants":' + orjson.dumps(rows))
         if "sessions" in wanted:
             out.append(b',"sessions":' + orjson.dumps(self.sessions()))
+        if "store" in wanted:
+            store = self.gateway.store
+            out.append(b',"store":' + orjson.dumps(None if store is None else {
+                "mode": store.mode, "why": store.why, "segments": len(store.segments), "bytes": sum(store.sizes.values()),
+                "live_bytes": store.index.bytes, "keys": len(store.index.keys), **store.counts, **core.memory.counts}))
+            out.append(b',"tasks":' + orjson.dumps({"running": self.gateway.tasks.rows(), "finished": self.gateway.tasks.finished,
+                                                    **self.gateway.tasks.counts}))
+        if "records" in wanted:
+            out.append(b',"records":' + orjson.dumps(None if self.gateway.discovery is None else self.gateway.discovery.rows()))
         if "modes" in wanted:
             out.append(b',"modes":' + orjson.dumps(list(self.modes)))
         if "reqs" in wanted:
@@ -327,9 +325,24 @@
             self.write_audit(who, ask, f"refused: {problem}")
             return self.error(exchange, 409, str(problem))
         self.write_audit(who, ask, "done")
-        text = do()
-        self.changed("action", act=act, what=what, who=who, text=text)
-        return exchange.json(200, {"v": VERSION, "done": text})
+
+        def done(why=None):
+            """It is on the disk, where it is to outlive a restart; else it is done all the same, and the operator told."""
+            text = do() + (f"; but it can't be put down ({why}) and ends with a restart" if why else "")
+            self.changed("action", act=act, what=what, who=who, text=text)
+            exchange.json(200, {"v": VERSION, "done": text})
+        self.put_down(act, ask, what, done)
+
+    def put_down(self, act, ask, what, done):
+        memory = self.core.memory
+        if act in ("drain", "take-back"):
+            memory.drained(what, act == "drain", done)
+        elif act == "cap":
+            memory.capped(what, ask["rps"], self.unix_ms() + round(ask.get("minutes", 60) * 60_000), done)
+        elif act == "uncap":
+            memory.capped(what, None, 0, done)
+        else:
+            done()
 
     def who(self, exchange):
         sock = exchange.conn.stream.sock
@@ -355,7 +368,7 @@
 
     def order(self, what, draining):
         core = self.core
-        if what not in core.membership.listed:
+        if what not in core.membership.told:
             raise Impossible(f"no box {what!r} is listed")
         if not draining and what not in core.membership.ordered:
             why = core.membership.why(what)
@@ -445,7 +458,7 @@
             self.audit.close()
 
 
-PARTS = frozenset(("boxes", "counts", "tenants", "sessions", "modes", "reqs"))
+PARTS = frozenset(("boxes", "counts", "tenants", "sessions", "store", "records", "modes", "reqs"))
 ACTS = {"drain": Admin.act_drain, "take-back": Admin.act_take_back, "cap": Admin.act_cap, "uncap": Admin.act_uncap,
         "acknowledge": Admin.act_acknowledge, "drain-gateway": Admin.act_drain_gateway}
 
@@ -481,7 +494,3 @@
 def finding_row(found, unix_ms):
     return {"kind": found.kind, "subject": found.subject, "level": found.level, "since_unix_ms": unix_ms(found.since_us),
             "cause": found.cause, "evidence": found.evidence, "do": found.do, "page": found.page}
-
-
-def nothing():
-    """Makes the loop turn at once."""
--- a/lapiswing/admission/repeats.py
+++ b/lapiswing/admission/repeats.py
@@ -18,9 +18,11 @@
 
 
 class Entry:
-    __slots__ = ("key", "print", "state", "owner", "sent_us", "ends_us", "window_us", "size", "wide")
+    __slots__ = ("key", "print", "state", "owner", "sent_us", "ends_us", "window_us", "size", "wide", "durable", "noted_ms",
+                 "lost")
 
     def __init__(self, key, fingerprint, window_us, wide):
+        self.durable = self.noted_ms = self.lost = None  # of `state.memory`: whether it is put down
         self.key, self.print, self.state, self.owner = key, fingerprint, "running", None
         self.sent_us, self.ends_us, self.window_us, self.size, self.wide = None, 0, window_us, 0, wide
 
@@ -54,6 +56,17 @@
             return "new", entry, latest if entry.wide == "boxes" else None
         return "doubt", entry, None
 
+    def restore(self, key, fingerprint, window_us, wide, state, sent_us, ends_us, owner):
+        """What was remembered over a restart: 'done' or 'doubted'. -> the entry, or None where it is known already."""
+        if key in self.entries:
+            return None
+        entry = self.entries[key] = Entry(key, fingerprint, window_us, wide)
+        entry.state, entry.sent_us, entry.ends_us = state, sent_us, ends_us
+        if owner is not None and self.bytes + owner.size <= self.most_bytes:
+            entry.owner, entry.size = owner, owner.size
+            self.bytes += owner.size
+        return entry
+
     def sent(self, entry, now_us):
         """Its first forward that may run an effect goes out."""
         if entry.sent_us is None:
--- a/lapiswing/cli/main.py
+++ b/lapiswing/cli/main.py
@@ -7,7 +7,9 @@
 import click
 
 from lapiswing import __version__
+from lapiswing.cli.dns import boxes, dns_group
 from lapiswing.cli.site import act, console, down, status, up
+from lapiswing.cli.store import store
 from lapiswing.cli.transfer import Stop, add_keys, transfer
 
 
@@ -80,14 +82,18 @@
         for field, name in (("path", "gateway.sock"), ("control_path", "control.sock"), ("audit_file", "audit.jsonl")):
             if not getattr(settings.admin, field):
                 setattr(settings.admin, field, str(Path(admin_folder).resolve() / name))
+        settings.store.folder = settings.store.folder or str(Path(admin_folder).resolve() / "store")
     log = start_logs(settings.log.level, settings.log.format, gateway=settings.gateway.name)
     gateway = Gateway(settings, log, base=str(Path(file).parent))
     run(gateway)
 
 
 def run(gateway):
+    from lapiswing.store import StoreError
     try:
         gateway.start()
+    except StoreError as problem:
+        raise click.ClickException(f"store: {problem}") from None
     except OSError as problem:
         listen = gateway.settings.listen
         where = problem.filename or f"{listen.host}:{listen.port}"
@@ -99,6 +105,8 @@
     gc.freeze()
     gc.set_threshold(20000, 20, 200)
     gateway.loop.run()
+    if gateway.store is not None:
+        gateway.store.close()  # what waits is written
 
 
 @main.command()
@@ -230,7 +238,7 @@
 
 
 add_keys(keys)
-for command in (transfer, status, console, act, up, down):
+for command in (transfer, status, console, act, up, down, store, boxes, dns_group):
     main.add_command(command)
 
 
--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -22,6 +22,7 @@
 from lapiswing.gateway import resume
 from lapiswing.gateway.tally import Tally
 from lapiswing.policy import Router
+from lapiswing.state import Memory
 
 MS = 1000
 ROUNDS = 4  # of the Router in one turn; what is still new then waits for the next turn
@@ -83,7 +84,7 @@
 
 class Core:
     def __init__(self, loop, engine, membership, repeats, settings, router_settings, roles, name, seed, log,
-                 router=Router):
+                 router=Router, memory=None):
         """`settings`: the checked message; `roles`: kind number -> read, write or both."""
         self.loop, self.engine, self.membership, self.repeats, self.lines = loop, engine, membership, repeats, log
         self.settings, self.limits, self.groups = settings, settings.limits, settings.group
@@ -95,6 +96,7 @@
         self.draining, self.on_idle, self.open = False, None, 0
         self.counts = {"taken": 0, "done": 0, "pushed back": 0, "aborted": 0, "left": 0, "joined": 0, "replayed": 0,
                        "not taken": 0, "forwards": 0, "resumed": 0, "backstop": 0, "faults": 0, "capped": 0}
+        self.memory = memory or Memory(None, None, None)
         self.tally, self.caps, self.on_change = Tally(), Caps(), None
         self.round_us = self.rounds = 0
         self.router = router(seed, router_settings, loop.clock.now_us())
@@ -135,6 +137,11 @@
             if latest is not None:
                 spec = spec._replace(expires_us=min(spec.expires_us, latest))
             spec = spec._replace(entry=entry)
+            if not self.memory.takes(entry):
+                self.repeats.never_ran(entry)
+                return self.refuse(listener)
+            if self.memory.wanted(entry):
+                self.memory.intent(entry)  # on its way to the disk while the req is read
         self.count += 1
         req = Req(self.count, spec, now)
         if spec.entry is not None:
@@ -275,11 +282,28 @@
         # whether it ran.
         fresh = stage != "read" and self.facts[spec.group].effect == "non-replayable"
         owner = Ear(self, req, req.rid, number, out)
-        out.forward = self.engine.forward(owner, server, stage, req.raw, params, name, key, fresh,
-                                          read_us)
         out.timer = self.loop.call_at(min(now + timeout_us, req.expires_us - self.margin_us // 2),
                                       self.timed_out, req, req.rid, number)
 
+        def send():
+            out.forward = self.engine.forward(owner, server, stage, req.raw, params, name, key, fresh, read_us)
+        if stage == "read" or spec.entry is None:
+            send()
+        else:
+            # What may have an effect is sent once its intent is on the disk: a gateway that is killed now would else not
+            # know of it when its client asks again.
+            out.forward = Waiting(name)
+            self.memory.when_noted(spec.entry, lambda why: self.noted(req, rid, number, out, send, why))
+
+    def noted(self, req, rid, number, out, send, why):
+        if out.forward.over:
+            return
+        if why is None:
+            send()
+        else:
+            self.lines.error("not sent: it can't be put down", req=req.number, why=why)
+            self.outcome(req, rid, number, out, "moot", None, None)
+
     def hold_place(self, rid, server):
         req = self.reqs.get(rid)
         if req is not None and not req.over:
@@ -509,10 +533,13 @@
         if entry is not None:
             if how == "done":
                 self.repeats.done(entry, now, what or req.answer, req.answer.size if what is None else len(what[1]))
-            elif how == "pushed back" and not req.streaming:
-                self.repeats.never_ran(entry)
+                self.memory.ended(entry, "done", req.answer if what is None else None)
             else:
-                self.repeats.doubted(entry, now)
+                if how == "pushed back" and not req.streaming:
+                    self.repeats.never_ran(entry)
+                else:
+                    self.repeats.doubted(entry, now)
+                self.memory.ended(entry, "doubt" if entry.state == "doubted" else "free", None)
         spec = req.spec
         self.lines.info("req", req=req.number, end=how, group=self.facts[spec.group].name, tenant=spec.tenant,
                       prompt=spec.tokens, tokens=req.answer.assembler.tokens,
@@ -543,7 +570,19 @@
                       rows=[f"{r.id} {r.mode}" for r in news[2]][:20])
 
     def list_boxes(self, rows):
-        self.tell_members(self.membership.list(rows))
+        self.tell_members(self.membership.list(rows, self.loop.clock.now_us()))
+
+    def records(self, source, rows):
+        """All that a source of records names now."""
+        doubts = self.membership.doubts()
+        self.tell_members(self.membership.records(source, rows, self.loop.clock.now_us()))
+        for name in self.membership.doubts():
+            if name not in doubts:
+                self.lines.warning("records doubted", source=name, named=len(rows))
+                self.changed("gateway", text=f"{name} lost most of its boxes at once and is doubted for now")
+
+    def look_at_members(self):
+        self.tell_members(self.membership.tick(self.loop.clock.now_us()))
 
     def ask_drained(self):
         """Boxes that said themselves that they drain: has that ended?"""
@@ -573,6 +612,22 @@
             self.loop.call_later(200 * MS, self.on_idle)  # releases are still on their way
 
 
+class Waiting:
+    """Stands for a forward that is not sent yet."""
+    report = answer = None
+
+    def __init__(self, name):
+        self.name, self.over = name, False
+
+    def cancel(self):
+        self.over = True
+
+    def pause(self):
+        pass
+
+    resume = pause
+
+
 class Ear:
     """Hears one forward for the core."""
     __slots__ = ("core", "req", "rid", "number", "out")
--- a/lapiswing/gateway/serve.py
+++ b/lapiswing/gateway/serve.py
@@ -3,10 +3,15 @@
 import signal
 import time
 from pathlib import Path
+from random import SystemRandom
 
 from lapiswing.admin.serve import Admin
 from lapiswing.admission import Repeats
+from lapiswing.dns.browse import Browser
+from lapiswing.dns.cache import Cache
+from lapiswing.dns.resolver import Resolver
 from lapiswing.engine import Engine
+from lapiswing.engine.client import address_of
 from lapiswing.gateway.core import Core
 from lapiswing.gateway.fronts.chat import ChatFront
 from lapiswing.gateway.fronts.mapping import Mapper
@@ -14,11 +19,19 @@
 from lapiswing.http1 import Limits, Pool, Server
 from lapiswing.loop import Clock, Listener, Loop, listen_socket
 from lapiswing.membership import Membership
+from lapiswing.membership.discover import Discovery
+from lapiswing.membership.merge import Limits as MemberLimits
 from lapiswing.policy import Router
 from lapiswing.settings import SettingsError, load_boxes, router_settings
-from lapiswing.settings.load import ROLES, Names, boxes_of
+from lapiswing.settings.settings_pb2 import GO_ON
+from lapiswing.settings.load import ROLES, Names, boxes_of, row_of_found
+from lapiswing.state import Memory
+from lapiswing.store import Engine as Store
+from lapiswing.store import Files, Worker
+from lapiswing.tasks import Tasks
 
 MS = 1000
+CHORES_US = 5_000 * MS
 
 
 class Gateway:
@@ -34,9 +47,17 @@
         seed = s.gateway.seed or int.from_bytes(os.urandom(6), "big")
         # Names of forwards must not repeat after a restart: boxes know states by them.
         name = f"{s.gateway.name}-{s.gateway.index}-{os.urandom(4).hex()}"
-        self.core = Core(self.loop, Engine(self.loop, self.pool, s.limits.event_bytes), Membership(),
+        self.tasks, self.store = Tasks(self.loop), None
+        if s.store.folder:
+            self.store = Store(Files(os.path.join(base, s.store.folder)), Worker(self.loop), segment_bytes=s.store.segment_bytes,
+                               log=lambda event, **fields: log.warning(event, **fields))
+        self.unix_offset_us = self.loop.clock.now_us() - time.time_ns() // 1000
+        memory = Memory(self.store, lambda: (self.loop.clock.now_us() - self.unix_offset_us) // MS, self.unix_to_us,
+                        s.store.answer_bytes, s.store.when_lost == GO_ON)
+        self.core = Core(self.loop, Engine(self.loop, self.pool, s.limits.event_bytes),
+                         Membership(MemberLimits(s.dns.gone_ms * MS, s.dns.doubt_ms * MS)),
                          Repeats(s.limits.repeats_kept, s.limits.repeat_bytes), s, router_settings(s, self.zones),
-                         [ROLES[k.role] for k in s.kind], name, seed, log, router)
+                         [ROLES[k.role] for k in s.kind], name, seed, log, router, memory)
         self.core.on_list_wanted = self.read_boxes
         mapper = Mapper(s)
         self.sessions = SessionFront(self.core, mapper, s, name)
@@ -47,18 +68,21 @@
             connections=l.connections))
         self.listener, self.stamp, self.signals = None, None, 0
         self.list_fault = self.admin = None
-        self.unix_offset_us = self.loop.clock.now_us() - time.time_ns() // 1000
 
     def unix_to_us(self, ms):
-        return max(1, ms * MS + self.unix_offset_us)
+        return ms * MS + self.unix_offset_us
 
     def start(self):
         l = self.settings.listen
         sock = listen_socket(l.host, l.port)
         self.port = sock.getsockname()[1]
+        if self.store is not None:
+            self.remember()
         self.read_boxes()
         if self.stamp is None and not self.core.membership.told:
             self.core.list_boxes(self.rows(self.settings.box))
+        if self.settings.dns.service or self.settings.dns.srv:
+            self.discover()
         self.core.turn()
         self.listener = Listener(self.loop, sock, self.server.accept, l.connections,
                                  high=self.settings.limits.answer_buffer_bytes,
@@ -72,8 +96,40 @@
             self.admin.start()
         self.log.info("listening", host=l.host, port=self.port, boxes=len(self.core.membership.told))
 
+    def discover(self):
+        """Looks for boxes by records, from now on."""
+        d, core = self.settings.dns, self.core
+        cache = Cache(d.lifetime_floor_s, d.lifetime_ceiling_s, stale_s=d.stale_s)
+        browsers = {f"dns-sd {n}": Browser(n, cache) for n in d.service} | {f"srv {n}": Browser(n, cache, sd=False) for n in d.srv}
+        resolver = Resolver(self.loop, [address_of(a) for a in d.server], SystemRandom(),
+                            lambda event, **fields: self.log.debug(event, **fields))
+        self.discovery = Discovery(
+            self.loop, resolver, browsers,
+            lambda found: row_of_found(found, self.settings, self.zones, self.cells, lambda ms: max(1, self.unix_to_us(ms))),
+            core.records, core.look_at_members, self.log)
+
+    discovery = None
+
+    def remember(self):
+        """Opens the store and takes up what an earlier life left. Raises StoreError."""
+        start = time.monotonic()
+        self.store.open()
+        core = self.core
+        found = core.memory.restore(core.repeats, core.membership, core.caps, [t.name for t in self.settings.tenant])
+        self.log.info("remembered", keys=len(found.keys), drains=len(found.drains), caps=len(found.caps),
+                      unreadable=found.unreadable or None, ms=round((time.monotonic() - start) * 1000))
+        self.loop.call_later(CHORES_US, self.chores)
+
+    def chores(self):
+        self.loop.call_later(CHORES_US, self.chores)
+        names = {row["name"] for row in self.tasks.rows()}
+        if self.store.wants_compaction() and "compaction" not in names:
+            self.tasks.add("compaction", self.store.compact(), priority=7, share=0.1)
+        if "expiry" not in names:
+            self.tasks.add("expiry", self.store.expire(), priority=8, share=0.05)
+
     def rows(self, boxes):
-        return boxes_of(boxes, self.settings, self.zones, self.cells, self.unix_to_us)
+        return boxes_of(boxes, self.settings, self.zones, self.cells, lambda ms: max(1, self.unix_to_us(ms)))
 
     def poll(self):
         self.loop.call_later(self.settings.boxes_poll_ms * MS, self.poll)
@@ -152,6 +208,11 @@
         self.server.close()
         self.sessions.close()
         self.pool.close()
+        self.tasks.close()
+        if self.discovery:
+            self.discovery.close()
+        if self.store is not None:
+            self.store.close()
         if self.admin:
             self.admin.close()
 
--- /dev/null
+++ b/lapiswing/membership/discover.py
@@ -0,0 +1,67 @@
+"""The doing part of finding boxes by records: asks what its browsers want, and tells the merge what they see."""
+MS = 1000
+LOOK_US = 200 * MS
+
+
+class Discovery:
+    def __init__(self, loop, resolver, browsers, row_of, tell, tick, log):
+        """`browsers`: {source: Browser}; `row_of(found)` -> row, or raises ValueError; `tell(source, rows)`; `tick()` each look."""
+        self.loop, self.resolver, self.browsers, self.log = loop, resolver, browsers, log
+        self.row_of, self.tell, self.tick = row_of, tell, tick
+        self.last, self.states, self.refused, self.closed = {}, {}, {}, False
+        self.look()
+
+    def look(self):
+        if self.closed:
+            return
+        self.timer = self.loop.call_later(LOOK_US, self.look)
+        for source, browser in self.browsers.items():
+            self.ask(browser)
+            self.see(source, browser)
+        self.tick()
+
+    def ask(self, browser):
+        for name, kind in browser.wants(self.loop.clock.now_us()):
+            self.resolver.ask(name, kind, lambda answer, why, name=name, kind=kind: self.told(browser, name, kind, answer, why))
+
+    def told(self, browser, name, kind, answer, why):
+        if not self.closed:
+            browser.told(name, kind, answer, self.loop.clock.now_us(), why)
+            self.ask(browser)  # an instance leads to its records, these to addresses
+
+    def see(self, source, browser):
+        now = self.loop.clock.now_us()
+        if browser.asking and source not in self.last:
+            return  # the first sight is told whole
+        view = browser.view(now)
+        if view.state == "none" and source not in self.last:
+            return
+        if view.state != self.states.get(source):
+            self.states[source] = view.state
+            self.log.info("records", source=source, state=view.state, boxes=len(view.boxes), why=browser.problem)
+        rows, refused = [], list(view.refused)
+        for found in view.boxes:
+            try:
+                rows.append(self.row_of(found))
+            except ValueError as problem:
+                refused.append((found.name, str(problem)))
+        for name, why in refused:
+            if self.refused.get((source, name)) != why:
+                self.log.warning("record refused", source=source, name=name[:100], why=why[:200])
+        self.refused = {k: v for k, v in self.refused.items() if k[0] != source} | {(source, n): w for n, w in refused}
+        if rows != self.last.get(source):
+            self.last[source] = rows
+            self.tell(source, rows)
+
+    def rows(self):
+        return {"sources": [{"source": s, "state": self.states.get(s, "none"), "boxes": len(self.last.get(s, ())),
+                             "problem": b.problem} for s, b in self.browsers.items()],
+                "servers": [{"server": f"{u.address[0]}:{u.address[1]}", "fails": u.fails, "answers": u.answers, "lost": u.lost}
+                            for u in self.resolver.servers],
+                "refused": [{"source": s, "name": n, "why": w} for (s, n), w in self.refused.items()][:100],
+                "counts": self.resolver.counts}
+
+    def close(self):
+        self.closed = True
+        self.timer.cancel()
+        self.resolver.close()
--- a/lapiswing/membership/merge.py
+++ b/lapiswing/membership/merge.py
@@ -1,47 +1,207 @@
-"""Merges the list with each box's own word that it drains, and an operator's.
+"""Which boxes there are, and which of them get something new: all sources' words, merged. No I/O, no clock.
 
-Who wins: a drain from any side. An operator's word ends when the operator takes it back, or when the list drops the box. A box's word ends when it says otherwise, when the list names it with a later
-start, or when the list drops it. While a box's own word stands it is asked now and then (`to_ask`), for nothing is
-sent there that could bring a newer word."""
+Sources: the list (settings and boxes file), records (SRV, DNS-SD; any number, named), each box's own word that it drains, and an
+operator's. Who wins:
 
+    drain              from any source. A box's own word ends when it says otherwise, when the list or its record names it with a later
+                       start, or when nobody names it any more; an operator's when the operator takes it back, or as before.
+    gone               the list's word GONE wins over records that still name the box.
+    kind, zone, cell, size   the list's, else those of the first source by name. A record that changes a box's kind without a later
+                       start is not believed: a box does not change its role while it runs.
+    start              the latest that any source tells: taking a cold box for a warm one would push it over.
+
+A box that records no longer name gets nothing new at once (draining) and is gone after `gone_us`. Records that lose more than a half of
+their boxes (3 or more) within `doubt_us` are doubted for that long: a lying record must not empty the pool. Boxes that a doubted source
+names as draining drain all the same. One that comes and goes more than `FLAPS` times in `flap_us` is held back for that long. New boxes of
+records are admitted `ADMIT` at once and some more each look, turn by turn by kind and zone, so that a flood does not bring one kind alone.
+
+Times are the caller's microseconds. Each box's state has its reason, see `explain`."""
+from typing import NamedTuple
+
+MS = 1000
+S = 1_000_000
+FLAPS = 3
+ADMIT, ADMIT_S = 40, 40  # new boxes of records at once, and a second
+MOST = 2000  # boxes of all sources
+
+
+class Limits(NamedTuple):
+    gone_us: int = 10 * S
+    doubt_us: int = 30 * S
+    flap_us: int = 60 * S
+    most: int = MOST
+
+
+class Source:
+    """One source of records."""
 
-class Membership:
     def __init__(self):
+        self.rows = {}  # what it names now
+        self.lost = {}  # what it named until just now -> when that ended
+        self.doubt_us = None  # doubted since
+        self.whole = 0  # how many it named before the doubt
+        self.kinds = {}  # box -> (kind, start) first told
+
+
+class Membership:
+    def __init__(self, limits=Limits()):
+        self.limits = limits
         self.listed, self.drains, self.ordered, self.told = {}, set(), set(), {}
+        self.sources, self.admitted, self.room, self.room_us = {}, set(), float(ADMIT), 0
+        self.flaps, self.held, self.reasons, self.now_us = {}, {}, {}, 0
+        self.counts = {"vanished": 0, "doubted": 0, "held back": 0, "flaps": 0, "kinds not believed": 0}
+
+    # ---- words
 
-    def list(self, rows):
-        """A whole list. -> what the decisions are to be told: an event, or None where nothing changes."""
+    def list(self, rows, now_us=None):
+        """The whole list. -> what the decisions are to be told: an event, or None where nothing changes."""
         rows = {row.id: row for row in rows}
-        for name in list(self.drains):
-            old, new = self.listed.get(name), rows.get(name)
-            if new is None or old is not None and new.started_us > old.started_us:
-                self.drains.discard(name)
-        self.ordered &= rows.keys()
         self.listed = rows
-        return self.news(first=not self.told)
+        return self.news(now_us, first=not self.told)
 
-    def said(self, name, draining):
+    def records(self, source, rows, now_us):
+        """All that a source of records names now, as rows (mode ready or draining). -> event or None."""
+        first = source not in self.sources
+        src = self.sources.setdefault(source, Source())
+        new = {row.id: row for row in rows}
+        for name, row in list(new.items()):
+            kind, start = src.kinds.get(name, (row.kind, row.started_us))
+            if row.kind != kind and row.started_us <= start:
+                self.counts["kinds not believed"] += 1
+                new[name] = row._replace(kind=kind)
+            else:
+                src.kinds[name] = row.kind, max(start, row.started_us)
+        gone = [n for n in src.rows if n not in new]
+        for name in gone:
+            src.lost[name] = now_us, src.rows[name]
+            self.counts["vanished"] += 1
+        for name in new:
+            if name in src.lost:
+                self.flapped(name, now_us)
+                del src.lost[name]
+        if not first:
+            lately = [n for n, (at, _) in src.lost.items() if now_us - at < self.limits.doubt_us]
+            whole = len(new) + len(lately)
+            if src.doubt_us is None and len(lately) >= 3 and len(lately) * 2 > whole:
+                src.doubt_us, src.whole = now_us, whole
+                self.counts["doubted"] += 1
+            elif src.doubt_us is not None and len(new) * 2 >= src.whole:
+                src.doubt_us = None  # they are back
+        src.rows = new
+        return self.news(now_us)
+
+    def flapped(self, name, now_us):
+        times = [t for t in self.flaps.get(name, ()) if now_us - t < self.limits.flap_us] + [now_us]
+        self.flaps[name] = times
+        if len(times) > FLAPS:
+            self.counts["flaps"] += 1
+            self.held[name] = now_us + self.limits.flap_us
+
+    def said(self, name, draining, now_us=None):
         """A box's own word. -> event or None."""
-        if name not in self.listed or draining == (name in self.drains):
+        if name not in self.told or draining == (name in self.drains):
             return None
         (self.drains.add if draining else self.drains.discard)(name)
-        return self.news()
+        return self.news(now_us)
 
-    def order(self, name, draining):
+    def order(self, name, draining, now_us=None):
         """An operator's word. -> event or None. Raises KeyError: no such box."""
-        if name not in self.listed:
+        if name not in self.told:
             raise KeyError(name)
         (self.ordered.add if draining else self.ordered.discard)(name)
-        return self.news()
+        return self.news(now_us)
 
-    def why(self, name):
-        """Who says that a box drains: 'operator', 'box', 'list', or None."""
-        return ("operator" if name in self.ordered else "box" if name in self.drains else
-                "list" if self.listed[name].mode == "draining" else None)
+    def tick(self, now_us):
+        """Time has passed: what vanished is gone, doubts end, more is admitted. -> event or None."""
+        return self.news(now_us)
+
+    # ---- the decision
+
+    def merged(self):
+        """-> {box: row}, with the reasons beside."""
+        now, limits, reasons = self.now_us, self.limits, {}
+        words = {}  # box -> [(source, row, mode, reason)]
+        for name, row in self.listed.items():
+            words.setdefault(name, []).append(("list", row, row.mode, None))
+        for source in sorted(self.sources):
+            src = self.sources[source]
+            doubted = src.doubt_us is not None and now < src.doubt_us + limits.doubt_us
+            for name, row in src.rows.items():
+                words.setdefault(name, []).append((source, row, row.mode, None))
+            for name, (at, row) in list(src.lost.items()):
+                if doubted:
+                    words.setdefault(name, []).append((source, row, row.mode, f"{source} no longer names it, and is doubted"))
+                elif now < at + limits.gone_us:
+                    words.setdefault(name, []).append((source, row, "draining", f"{source} no longer names it"))
+                else:
+                    del src.lost[name]
+            if src.doubt_us is not None and not doubted:
+                src.doubt_us = None
+        out = {}
+        for name, said in words.items():
+            # The list goes first, then sources by name, those that still name it before those that do not.
+            said.sort(key=lambda w: (w[0] != "list", w[3] is not None, w[0]))
+            row = said[0][1]._replace(started_us=max(w[1].started_us for w in said))
+            naming = [w for w in said if w[3] is None]
+            draining = [w for w in naming if w[2] == "draining"] or ([w for w in said if w[2] == "draining"] if not naming else [])
+            if said[0][0] == "list" and said[0][2] == "gone":
+                mode, why = "gone", "list"
+            elif name in self.ordered:
+                mode, why = "draining", "operator"
+            elif name in self.drains:
+                mode, why = "draining", "box"
+            elif draining:
+                mode, why = "draining", draining[0][3] or draining[0][0]
+            elif now < self.held.get(name, 0) and said[0][0] != "list":
+                mode, why = "draining", "it comes and goes"
+            else:
+                mode, why = "ready", said[0][3]
+            out[name], reasons[name] = row._replace(mode=mode), why
+        self.reasons = reasons
+        return self.admit(out)
+
+    def admit(self, rows):
+        """What the list names is in; of what records alone name, new boxes a few at a time."""
+        self.admitted &= rows.keys()
+        fresh = [n for n in rows if n not in self.listed and n not in self.admitted]
+        if fresh:
+            self.room = min(float(ADMIT), self.room + max(0, self.now_us - self.room_us) * ADMIT_S / S)
+            self.room_us = self.now_us
+            lines = {}
+            for name in sorted(fresh):
+                lines.setdefault((rows[name].kind, rows[name].zone), []).append(name)
+            count = len(self.listed) + len(self.admitted)
+            while lines and self.room >= 1 and count < self.limits.most:
+                for at in sorted(lines):
+                    if self.room < 1 or count >= self.limits.most:
+                        break
+                    self.admitted.add(lines[at].pop(0))
+                    self.room -= 1
+                    count += 1
+                    if not lines[at]:
+                        del lines[at]
+            waiting = [n for n in fresh if n not in self.admitted]
+            self.counts["held back"] += len(waiting)
+            for name in waiting:
+                del rows[name]
+        else:
+            self.room_us = self.now_us
+        return rows
 
-    def news(self, first=False):
-        now = {name: row._replace(mode="draining") if row.mode == "ready" and (name in self.drains or name in self.ordered) else row
-               for name, row in self.listed.items()}
+    def news(self, now_us=None, first=False):
+        self.now_us = self.now_us if now_us is None else max(self.now_us, now_us)
+        before = {name: row.started_us for name, row in self.told.items()}
+        now = self.merged()
+        again = False
+        for name in list(self.drains):  # a box's own word ends with a later start, or when nobody names it
+            if name not in now or now[name].started_us > before.get(name, now[name].started_us):
+                self.drains.discard(name)
+                again = True
+        if self.told or first:
+            kept = {n for n in self.ordered if n in now}
+            again, self.ordered = again or kept != self.ordered, kept
+        if again:
+            now = self.merged()
         if now == self.told and not first:
             return None
         whole = first or now.keys() != self.told.keys()
@@ -49,5 +209,30 @@
         self.told = now
         return ("servers", "restored" if first else "replace" if whole else "update", changed)
 
+    # ---- for those who look
+
+    def why(self, name):
+        """Why a box is not simply ready, or None."""
+        return self.reasons.get(name)
+
+    def explain(self):
+        """-> {box: {source: word}} of all that any source says."""
+        out = {}
+        for name, row in self.listed.items():
+            out.setdefault(name, {})["list"] = row.mode
+        for source, src in self.sources.items():
+            for name, row in src.rows.items():
+                out.setdefault(name, {})[source] = row.mode
+            for name, (at, _) in src.lost.items():
+                out.setdefault(name, {})[source] = f"not named for {(self.now_us - at) // S} s"
+        for name in self.drains:
+            out.setdefault(name, {})["box"] = "draining"
+        for name in self.ordered:
+            out.setdefault(name, {})["operator"] = "draining"
+        return out
+
+    def doubts(self):
+        return [n for n, s in self.sources.items() if s.doubt_us is not None]
+
     def to_ask(self):
         return sorted(self.drains)
--- a/lapiswing/settings/load.py
+++ b/lapiswing/settings/load.py
@@ -7,6 +7,7 @@
 from cryptography.fernet import Fernet
 from google.protobuf import text_format
 
+from lapiswing.dns.codec import question
 from lapiswing.interface import EndpointGroup, Server
 from lapiswing.settings import settings_pb2 as pb
 
@@ -33,6 +34,8 @@
     "sessions": {"per_tenant": 1000, "total": 4000, "reqs": 64, "session_bytes": 262144, "total_bytes": 256 << 20,
                  "message_bytes": 4 << 20, "resume_ms": 15000, "idle_ms": 600000, "ping_ms": 20000, "stall_ms": 30000,
                  "spread_ms": 5000},
+    "store": {"answer_bytes": 65536, "segment_bytes": 4 << 20},
+    "dns": {"lifetime_floor_s": 1, "lifetime_ceiling_s": 300, "stale_s": 3600, "gone_ms": 10000, "doubt_ms": 30000},
     "admin": {"host": "127.0.0.1"},
     "log": {"level": "info", "format": "text"},
 }
@@ -208,8 +211,23 @@
         yield "group", "at least one endpoint group is needed"
     if not s.kind:
         yield "kind", "at least one kind of box is needed"
-    if not s.box and not s.boxes_file:
-        yield "box", "no box and no boxes_file"
+    records = s.dns.service or s.dns.srv
+    if not s.box and not s.boxes_file and not records:
+        yield "box", "no box, no boxes_file and no dns.service or dns.srv"
+    if records and not s.dns.server:
+        yield "dns.server", "is missing: whom to ask"
+    for i, server in enumerate(s.dns.server):
+        host, _, port = server.rpartition(":")
+        if not host or not port.isdigit() or not 0 < int(port) < 65536:
+            yield f"dns.server[{i}]", f"{server!r} is not host:port"
+    for field in ("service", "srv"):
+        for i, name in enumerate(getattr(s.dns, field)):
+            try:
+                question(name, "SRV", 0)
+            except ValueError as problem:
+                yield f"dns.{field}[{i}]", f"is no name: {problem}"
+    if s.dns.kind and s.dns.kind not in [k.name for k in s.kind]:
+        yield "dns.kind", f"{s.dns.kind!r} is no kind"
     if s.listen.port > 65535:
         yield "listen.port", f"{s.listen.port} is not a port"
     if s.gateway.index >= s.gateway.gateways:
@@ -262,6 +280,8 @@
             yield "admin.key", "a port without a key is open to everybody who reaches it"
         if s.admin.port > 65535 or s.admin.port == s.listen.port:
             yield "admin.port", f"{s.admin.port} is not a port of its own"
+    if not 65536 <= s.store.segment_bytes <= 1 << 30:
+        yield "store.segment_bytes", "must lie between 64 KiB and 1 GiB"
     for name in ("key", "control_key"):
         for i, key in enumerate(getattr(s.admin, name)):
             if len(key) < 16:
@@ -322,6 +342,21 @@
                    unix_to_us(b.started_ms) if b.started_ms else 0, MODES[b.mode]) for b in boxes]
 
 
+def row_of_found(found, settings, zones, cells, unix_to_us):
+    """A box that records tell of -> a row. Raises ValueError: it can't be one of ours."""
+    kinds = [k.name for k in settings.kind]
+    name = found.kind or None
+    if name is None and found.role is not None:
+        name = next((k.name for k in settings.kind if ROLES[k.role] == found.role), None)
+        if name is None:
+            raise ValueError(f"no kind of box here has the role {found.role}")
+    name = name or settings.dns.kind or (kinds[0] if len(kinds) == 1 else None)
+    if name not in kinds:
+        raise ValueError(f"kind {name!r} is none of {', '.join(kinds)}" if name else "its records tell neither kind nor role")
+    return Server(found.id, zones(found.zone), cells((found.zone, found.cell)), kinds.index(name), found.size,
+                  unix_to_us(found.gen_ms) if found.gen_ms else 0, "draining" if found.draining else "ready")
+
+
 def router_settings(s, zones):
     """What `Router(seed, settings, now_us)` is given."""
     groups = [EndpointGroup(g.name, EFFECTS[g.effect], SCOPES[g.repeat_scope], g.repeat_window_ms * MS,
--- a/lapiswing/store/engine.py
+++ b/lapiswing/store/engine.py
@@ -413,19 +413,20 @@
                     state = []
                     while not self.put(items, state.append):
                         state.clear()
-                        yield  # too much waits for the disk, or the disk is full
+                        yield False  # too much waits for the disk, or the disk is full
                         if self.mode in ("failed", "closed"):
                             return
                     self.counts["copied"] += len(items)
+                    moved = sum(len(k) + len(v or b"") for k, v, _ in items)
                     while not state:
-                        yield
+                        yield False
                     if state[0] is not None:
                         return
-                yield
+                    yield moved
             if any(e[0] == number for e in self.index.keys.values()) or any(number in v.pinned for v in self.pins):
                 return  # a snapshot still reads there; another time
             while self.busy:
-                yield
+                yield False
             rows = [r for r in self.manifest_rows() if r[0] != number]
             state = []
             self.busy = True
@@ -439,7 +440,7 @@
                 self.flush()
             self.worker.submit(job, switched)
             while not state:
-                yield
+                yield False
             if state[0] is not None:
                 self.log("store: no new manifest", why=str(state[0]))
                 return
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -440,3 +440,67 @@
     again = opened(Files(tmp_path))
     assert again.counts["hints used"] == 0 and held(again) == states[-1]
     again.close()
+
+
+# ---- tools
+
+def command(*args):
+    from click.testing import CliRunner
+
+    from lapiswing.cli.main import main
+    result = CliRunner().invoke(main, ["store", *map(str, args)])
+    return result.exit_code, result.output
+
+
+def filled(folder, n=80):
+    engine = opened(Files(folder), segment_bytes=2000)
+    states = run(engine, some_steps(random.Random(11), n, keys=30))
+    engine.close()
+    return states
+
+
+def test_verify_dump_and_compact(tmp_path):
+    import json
+    states = filled(tmp_path / "s")
+    code, text = command("verify", tmp_path / "s", "--json")
+    assert code == 0 and json.loads(text)["ok"] and json.loads(text)["frames"] == 80
+    rows = [json.loads(line) for line in command("dump", tmp_path / "s")[1].splitlines()]
+    assert {r["key"] for r in rows} == {k.decode() for k in states[-1]}
+    code, text = command("compact", tmp_path / "s")
+    assert code == 0 and int(text.split()[0]) > int(text.split()[-2])
+    engine = opened(Files(tmp_path / "s"))
+    assert held(engine) == states[-1]
+    assert command("verify", tmp_path / "s") == (2, "Error: LOCK: another process has this store open\n")
+    engine.close()
+
+
+def test_repair_takes_a_prefix_and_keeps_what_was_there(tmp_path):
+    states = filled(tmp_path / "s")
+    logs = sorted((tmp_path / "s").glob("*.log"))
+    data = bytearray(logs[3].read_bytes())
+    data[len(data) // 2] ^= 1
+    logs[3].write_bytes(data)
+    for hint in (tmp_path / "s").glob("*.hint"):
+        hint.unlink()
+    assert command("verify", tmp_path / "s")[0] == 1
+    with pytest.raises(StoreError):
+        opened(Files(tmp_path / "s"))
+    code, text = command("repair", tmp_path / "s", "--keep", tmp_path / "kept")
+    assert code == 0 and logs[3].name in text and "nothing after it is taken" in text
+    engine = opened(Files(tmp_path / "s"))
+    found = held(engine)
+    assert found in states and found != states[-1] and found != {}
+    run(engine, [[(b"new", b"1", 0)]])
+    engine.close()
+    assert command("verify", tmp_path / "s")[0] == 0
+    assert bytes(data) == (tmp_path / "kept" / logs[3].name).read_bytes()
+    assert command("repair", tmp_path / "s", "--keep", tmp_path / "kept")[0] == 1  # never over what is kept
+
+
+def test_repair_without_a_manifest(tmp_path):
+    states = filled(tmp_path / "s", 30)
+    (tmp_path / "s" / "MANIFEST").unlink()
+    assert command("repair", tmp_path / "s", "--keep", tmp_path / "kept")[0] == 0
+    engine = opened(Files(tmp_path / "s"))
+    assert held(engine) == states[-1]
+    engine.close()
