A store that can't be read leaves a gateway without memory, not without service

A damaged store kept its gateway from starting, while one that can't be written only costs calls with a key. Both are the same now; a store that another process has open still ends the start.

--- a/lapiswing/gateway/serve.py
+++ b/lapiswing/gateway/serve.py
@@ -27,7 +27,7 @@
 from lapiswing.settings.load import ROLES, Names, boxes_of, row_of_found
 from lapiswing.state import Memory
 from lapiswing.store import Engine as Store
-from lapiswing.store import Files, Worker
+from lapiswing.store import Files, StoreError, Worker
 from lapiswing.tasks import Tasks
 
 MS = 1000
@@ -111,9 +111,17 @@
     discovery = None
 
     def remember(self):
-        """Opens the store and takes up what an earlier life left. Raises StoreError."""
+        """Opens the store and takes up what an earlier life left. One that can't be read leaves the gateway without memory, as one that
+        can't be written does later. Raises StoreError: another process has it open."""
         start = time.monotonic()
-        self.store.open()
+        try:
+            self.store.open()
+        except StoreError as problem:
+            if problem.kind == "locked":
+                raise
+            self.store.refuse(str(problem))
+            return self.log.error("store can't be opened; calls with a key are pushed back" if not self.core.memory.go_on else
+                                  "store can't be opened; nothing is remembered", why=str(problem))
         core = self.core
         found = core.memory.restore(core.repeats, core.membership, core.caps, [t.name for t in self.settings.tenant])
         self.log.info("remembered", keys=len(found.keys), drains=len(found.drains), caps=len(found.caps),
--- a/lapiswing/store/engine.py
+++ b/lapiswing/store/engine.py
@@ -197,6 +197,10 @@
         self.rows[key] = (-1, 0, 0, None) if value is None else (
             at, len(value), expires, value if len(value) <= INLINE else None)
 
+    def refuse(self, why):
+        """It could not be opened: from now on it holds nothing and takes nothing."""
+        self.index, self.mode, self.why = Index(), "failed", why
+
     # ---- files
 
     def new_segment(self, number):
