A disk that stalls holds no state: its req is given up within half the rule's time

A write that waits for its intent to be on the disk is not out, so its read state was held unused for as long as the disk took (rule 5). It is given up after half of let_go_ms, as never sent, which it is told to the decisions as; its key is free again.

--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -274,8 +274,6 @@
         if stage != "read" and self.facts[spec.group].effect == "keyed":
             # A call without a key gets one of its own, so that its further forwards are dropped as repeats.
             key = (spec.key or f"{self.name}.{req.number}").encode()
-        if spec.entry is not None and stage != "read":
-            self.repeats.sent(spec.entry, now)
         name = f"{self.name}.{req.rid}.{number}".encode()
         params, read_us = (req.state[1], req.state[3]) if req.state else (None, None)
         # What can't run twice goes on a new connection: on a kept one that the box closes just now, nobody can tell
@@ -286,13 +284,19 @@
                                       self.timed_out, req, req.rid, number)
 
         def send():
+            if spec.entry is not None and stage != "read":
+                self.repeats.sent(spec.entry, self.loop.clock.now_us())
             out.forward = self.engine.forward(owner, server, stage, req.raw, params, name, key, fresh, read_us)
         if stage == "read" or spec.entry is None:
             send()
         else:
             # What may have an effect is sent once its intent is on the disk: a gateway that is killed now would else not
             # know of it when its client asks again.
-            out.forward = Waiting(name)
+            out.forward = waiting = Waiting(name)
+            # Guards rule 5: the state must not stay held while a disk takes its time. Could harm where a disk takes so long all the
+            # time, which `when_lost: GO_ON` is for.
+            self.loop.call_later(self.settings.rules.let_go_ms * MS // 2, lambda: waiting.over or out.forward is not waiting
+                                 or self.noted(req, rid, number, out, send, "the disk takes too long"))
             self.memory.when_noted(spec.entry, lambda why: self.noted(req, rid, number, out, send, why))
 
     def noted(self, req, rid, number, out, send, why):
@@ -301,6 +305,7 @@
         if why is None:
             send()
         else:
+            out.forward.over = True
             self.lines.error("not sent: it can't be put down", req=req.number, why=why)
             self.outcome(req, rid, number, out, "moot", None, None)
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -118,6 +118,24 @@
         assert status(raw.until()) == 200 and len(place.rows("ran")) == 1
 
 
+def test_a_disk_that_stalls_holds_no_state_and_leaves_no_doubt(tmp_path):
+    with with_store(tmp_path / "s") as place:
+        worker, jobs = place.gateway.store.worker, []
+        real = worker.submit
+        worker.submit = lambda job, done: jobs.append((job, done))
+        raw = call(place)
+        place.until(lambda: place.rows("state"))
+        assert status(raw.until()) in (429, 503)
+        place.until(lambda: place.rows("let_go"))
+        held = place.rows("let_go")[0]["t"] - place.rows("state")[0]["t"]
+        assert held < 500_000 and not place.rows("arrive", stage="write")
+        worker.submit = real
+        for job in jobs:
+            real(*job)
+        place.until(lambda: not place.gateway.store.busy)
+        assert status(call(place).until()) == 200 and len(place.rows("ran")) == 1  # it never ran, so it may now
+
+
 @pytest.mark.parametrize("more,code,ran", [("", 503, 0), ("when_lost: GO_ON", 200, 1)])
 def test_with_a_store_that_can_not_write_calls_with_a_key_go_as_the_settings_say(tmp_path, more, code, ran):
     with with_store(tmp_path / "s", more) as place:
