--- a/lapiswing/membership/discover.py
+++ b/lapiswing/membership/discover.py
@@ -30,7 +30,7 @@
             return
         now = self.loop.clock.now_us()
         self.left, self.left_us = min(float(ASKS_S), self.left + (now - self.left_us) * ASKS_S / 1e6), now
-        for name, kind in browser.wants(now, int(self.left)):
+        for name, kind in browser.wants(now, int(self.left)) if self.left >= 1 else ():
             self.left -= 1
             self.resolver.ask(name, kind, lambda answer, why, name=name, kind=kind: self.told(browser, name, kind, answer, why))
 
@@ -39,7 +39,8 @@
             browser.told(name, kind, answer, self.loop.clock.now_us(), why)
             if browser not in self.soon:  # an instance leads to its records, these to addresses
                 self.soon.add(browser)
-                self.loop.call_later(SOON_US, self.ask, browser)
+                # With many names a look over all of them costs: it is taken less often then.
+                self.loop.call_later(SOON_US + 50 * len(browser.cache.known), self.ask, browser)
 
     def see(self, source, browser):
         now = self.loop.clock.now_us()
