Addresses, settings files and the store's lock are read in one place each; dead state out

A last read found the same code twice: host:port was taken apart in three places and checked in four, each command told settings' faults with its own copy, the store's lock and the first segment were made by two copies each, the windows of doubt stood twice, and two tests had the same ear. Each is one piece now (loop.address_of, cli.common, store's take_lock and begin_segment, tests' Taken). Out went state that nobody read in browse, cache, tally, index, tasks, the console's model and the transfer agent.

--- a/benchmarks/sessions.py
+++ b/benchmarks/sessions.py
@@ -109,10 +109,12 @@
 def role(name, args):
     loop = Loop(Clock())
     if name == "gateway":
-        from lapiswing.cli.main import read_settings, run
+        from lapiswing.cli.common import read_settings
+        from lapiswing.cli.main import run
         from lapiswing.gateway.serve import Gateway
         from lapiswing.observe import start_logs
-        gateway = Gateway(read_settings(args[0]), start_logs("warning"))
+        from lapiswing.settings import load_text
+        gateway = Gateway(read_settings(args[0], load_text), start_logs("warning"))
         gateway.sessions.book.fair = False
         return run(gateway)
     port, sessions, streams, seconds = int(args[0]), int(args[1]), int(args[2]), float(args[3])
--- a/lapiswing/admin/serve.py
+++ b/lapiswing/admin/serve.py
@@ -72,7 +72,7 @@
         self.last, self.cache, self.waiting = None, {}, {}
         self.listeners, self.servers, self.audit, self.closed = [], [], None, False
         self.metrics = Metrics(self.measures)
-        self.scanning, self.readers = False, 0
+        self.scanning, self.readers, self.looks = False, 0, 0
         self.core.on_change = self.changed
 
     def start(self):
@@ -110,7 +110,9 @@
         if not self.scanning:
             self.scanning = True
             self.gateway.tasks.add("scan of holds", self.facts.scan(), priority=2, done=self.scanned)
-        self.core.tally.first.halve() if self.feed.seq and self.halves() else None
+        self.looks += 1
+        if self.looks % 10 == 0:
+            self.core.tally.first.halve()
         facts = self.last = self.facts.take()
         for what, found in self.diagnosis.look(facts):
             self.changed("finding", what=what, **finding_row(found, self.unix_ms))
@@ -123,12 +125,6 @@
     def scanned(self, _problem):
         self.scanning = False
 
-    looks = 0
-
-    def halves(self):
-        self.looks += 1
-        return self.looks % 10 == 0
-
     def unix_ms(self, at_us=None):
         return time.time_ns() // 1_000_000 if at_us is None else (at_us - self.gateway.unix_offset_us) // MS
 
--- a/lapiswing/cli/demo.py
+++ b/lapiswing/cli/demo.py
@@ -8,7 +8,8 @@
 import click
 import orjson
 
-from lapiswing.cli.main import Stop, run
+from lapiswing.cli.common import Stop
+from lapiswing.cli.main import run
 from lapiswing.loop import free_ports
 from lapiswing.settings import load_text
 
--- a/lapiswing/cli/dns.py
+++ b/lapiswing/cli/dns.py
@@ -4,16 +4,16 @@
 
 import click
 
+from lapiswing.cli.common import Stop
 from lapiswing.cli.site import at, key_option
-from lapiswing.cli.transfer import Stop, tell
+from lapiswing.cli.transfer import tell
 
 server = click.option("--server", "servers", multiple=True, required=True, help="host:port of a name server; several may be given.")
 
 
 def resolver_of(servers):
     from lapiswing.dns.resolver import Resolver
-    from lapiswing.loop import Clock, Loop
-    from lapiswing.transfer.serve import address_of
+    from lapiswing.loop import Clock, Loop, address_of
     try:
         addresses = [address_of(s) for s in servers]
     except ValueError as problem:
--- a/lapiswing/cli/main.py
+++ b/lapiswing/cli/main.py
@@ -7,22 +7,11 @@
 import click
 
 from lapiswing import __version__
+from lapiswing.cli.common import Stop, read_settings
 from lapiswing.cli.dns import boxes, dns_group
 from lapiswing.cli.site import act, console, down, status, up
 from lapiswing.cli.store import store
-from lapiswing.cli.transfer import Stop, add_keys, transfer
-
-
-def read_settings(path):
-    from lapiswing.settings import SettingsError, load_text
-    try:
-        return load_text(Path(path).read_text(), str(path))
-    except (OSError, UnicodeDecodeError) as problem:
-        raise Stop(f"{path}: {problem}") from None
-    except SettingsError as problem:
-        for fault in problem.faults:
-            click.echo(str(fault), err=True)
-        raise Stop(f"{len(problem.faults)} fault{'s' * (len(problem.faults) != 1)} in {path}") from None
+from lapiswing.cli.transfer import add_keys, transfer
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -77,7 +66,8 @@
     boxes file again."""
     from lapiswing.gateway.serve import Gateway
     from lapiswing.observe import start_logs
-    settings = read_settings(file)
+    from lapiswing.settings import load_text
+    settings = read_settings(file, load_text)
     if admin_folder:
         for field, name in (("path", "gateway.sock"), ("control_path", "control.sock"), ("audit_file", "audit.jsonl")):
             if not getattr(settings.admin, field):
--- a/lapiswing/cli/site.py
+++ b/lapiswing/cli/site.py
@@ -9,7 +9,7 @@
 
 import click
 
-from lapiswing.cli.transfer import Stop
+from lapiswing.cli.common import Stop, read_settings
 
 EXITS = {0: 0, 1: 0, 2: 3, 3: 4}
 NO_ANSWER = 5
@@ -186,8 +186,8 @@
     if attach and running is None:
         raise Stop(f"{file}: nothing runs; `lapiswing up {file}` starts it")
     if running is None:
-        from lapiswing.cli.main import read_settings
-        read_settings(file)  # faults are told here, not only in a log
+        from lapiswing.settings import load_text
+        read_settings(file, load_text)  # faults are told here, not only in a log
         begin(file, folder, fleet)
     if no_console or not sys.stdout.isatty():
         click.echo(f"Running: {file}\nState, logs and sockets: {folder}\n"
--- a/lapiswing/cli/store.py
+++ b/lapiswing/cli/store.py
@@ -4,7 +4,7 @@
 
 import click
 
-from lapiswing.cli.transfer import Stop
+from lapiswing.cli.common import Stop
 
 folder = click.argument("folder", type=click.Path(exists=True, file_okay=False))
 
--- a/lapiswing/cli/transfer.py
+++ b/lapiswing/cli/transfer.py
@@ -7,15 +7,13 @@
 
 import click
 
-MB = 1 << 20
-
+from lapiswing.cli.common import Stop, read_settings
 
-class Stop(click.ClickException):
-    exit_code = 2
+MB = 1 << 20
 
 
 def address(_context, _parameter, value):
-    from lapiswing.transfer.serve import address_of
+    from lapiswing.loop import address_of
     try:
         return [address_of(v) for v in value] if isinstance(value, tuple) else address_of(value)
     except ValueError as problem:
@@ -88,20 +86,13 @@
     FILE holds its settings (message TransferAgent, see docs/transfer.md). SIGTERM lets running moves end; SIGHUP reads keys
     and certificates again."""
     from lapiswing.observe import start_logs
-    from lapiswing.settings import SettingsError, load_agent
+    from lapiswing.settings import load_agent
     from lapiswing.transfer.certificates import CertificateError
     from lapiswing.transfer.serve import Program
 
     def read():
         return load_agent(Path(file).read_text(), str(file))
-    try:
-        settings = read()
-    except (OSError, UnicodeDecodeError) as problem:
-        raise Stop(f"{file}: {problem}") from None
-    except SettingsError as problem:
-        for fault in problem.faults:
-            click.echo(str(fault), err=True)
-        raise Stop(f"{len(problem.faults)} fault{'s' * (len(problem.faults) != 1)} in {file}") from None
+    settings = read_settings(file, load_agent)
     log = start_logs(settings.log.level, settings.log.format, agent=settings.name)
     try:
         program = Program(settings, log, base=str(Path(file).parent), reread=read)
@@ -214,7 +205,7 @@
                 "whole" if row["here"] == row["bytes"] else "file missing or of another length")
         return tell(rows, as_json, ("name", "bytes", "state", "root"))
     from lapiswing.transfer.frames import MOST_LISTED
-    from lapiswing.transfer.serve import address_of
+    from lapiswing.loop import address_of
     try:
         where = address_of(what)
     except ValueError:
--- a/lapiswing/console/model.py
+++ b/lapiswing/console/model.py
@@ -22,8 +22,6 @@
         self.back, self.search, self.paused, self.help = False, "", False, False
         self.prompt = None  # (question, text so far, what then)
         self.message, self.detail = "", None
-        self.rows = 0  # of the view's list, told by the views
-        self.picked = None
 
     # ---- from the socket
 
--- a/lapiswing/dns/browse.py
+++ b/lapiswing/dns/browse.py
@@ -102,7 +102,6 @@
         self.name = name.lower() if name.endswith(".") else name.lower() + "."
         self.cache, self.sd, self.defaults = cache, sd, defaults or {}
         self.asking, self.later, self.problem = set(), {}, None
-        self.heard_us = None  # when the first name was last answered
 
     def instances(self, now_us):
         if not self.sd:
@@ -145,7 +144,7 @@
         if len(self.later) > 4 * MOST_BOXES:
             self.later.clear()
         if (name, kind) == (self.name, "PTR" if self.sd else "SRV"):
-            self.heard_us, self.problem = now_us, None
+            self.problem = None
         self.cache.put(name, kind, answer.records, answer.ttl, now_us)
         # What came along saves a question, but only about names that are asked about anyway: nobody plants others here.
         wanted = set(self.names(now_us)) if answer.more else ()
--- a/lapiswing/dns/cache.py
+++ b/lapiswing/dns/cache.py
@@ -13,7 +13,6 @@
     until_us: int
     refresh_us: int
     stale_us: int  # stands until then while nobody answers
-    negative: bool
 
 
 class Cache:
@@ -28,7 +27,7 @@
             self.sweep(now_us)
             if len(self.known) >= self.most:
                 return False
-        self.known[name, kind] = Known(records, now_us + life, now_us + life * 4 // 5, now_us + life + self.stale_s * S, not records)
+        self.known[name, kind] = Known(records, now_us + life, now_us + life * 4 // 5, now_us + life + self.stale_s * S)
         return True
 
     def get(self, name, kind, now_us):
--- a/lapiswing/engine/client.py
+++ b/lapiswing/engine/client.py
@@ -10,6 +10,7 @@
 from lapiswing.chat import Events, TooLong
 from lapiswing.engine.outcomes import REFUSAL, of_failure, of_status, report_of
 from lapiswing.http1.wire import get
+from lapiswing.loop import address_of
 
 CHAT = b"/v1/chat/completions"
 RELEASE_PAUSES_MS = (100, 200, 400, 800, 1600, 3200)
@@ -242,11 +243,6 @@
             done(code, value, self.report)
 
 
-def address_of(server):
-    host, _, port = server.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 class Engine:
     def __init__(self, loop, pool, event_bytes):
         self.loop, self.pool, self.event_bytes, self.releasing = loop, pool, event_bytes, 0
--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -18,9 +18,9 @@
 
 from lapiswing.admission.caps import Caps
 from lapiswing.chat import Assembler
-from lapiswing.engine.client import address_of
 from lapiswing.gateway import resume
 from lapiswing.gateway.tally import Tally
+from lapiswing.loop import address_of
 from lapiswing.policy import Router
 from lapiswing.state import Memory
 
--- a/lapiswing/gateway/serve.py
+++ b/lapiswing/gateway/serve.py
@@ -11,13 +11,12 @@
 from lapiswing.dns.cache import Cache
 from lapiswing.dns.resolver import Resolver
 from lapiswing.engine import Engine
-from lapiswing.engine.client import address_of
 from lapiswing.gateway.core import Core
 from lapiswing.gateway.fronts.chat import ChatFront
 from lapiswing.gateway.fronts.mapping import Mapper
 from lapiswing.gateway.fronts.websocket import SessionFront
 from lapiswing.http1 import Limits, Pool, Server
-from lapiswing.loop import Clock, Listener, Loop, listen_socket
+from lapiswing.loop import Clock, Listener, Loop, address_of, listen_socket
 from lapiswing.membership import Membership
 from lapiswing.membership.discover import Discovery
 from lapiswing.membership.merge import Limits as MemberLimits
--- a/lapiswing/gateway/tally.py
+++ b/lapiswing/gateway/tally.py
@@ -49,7 +49,6 @@
 class Tally:
     def __init__(self):
         self.boxes, self.tenants, self.first = {}, {}, Latency()
-        self.groups = {}
 
     def box(self, server):
         found = self.boxes.get(server)
--- a/lapiswing/lab/gateway.py
+++ b/lapiswing/lab/gateway.py
@@ -2,13 +2,15 @@
 import sys
 from pathlib import Path
 
-from lapiswing.cli.main import read_settings, run
+from lapiswing.cli.common import read_settings
+from lapiswing.cli.main import run
 from lapiswing.gateway.serve import Gateway
 from lapiswing.lab.doubles import ROUTERS
 from lapiswing.observe import start_logs
+from lapiswing.settings import load_text
 
 if __name__ == "__main__":
-    settings = read_settings(sys.argv[2])
+    settings = read_settings(sys.argv[2], load_text)
     router = ROUTERS[sys.argv[1]]
     gateway = Gateway(settings, start_logs(settings.log.level, settings.log.format), base=str(Path(sys.argv[2]).parent),
                       router=router)
--- a/lapiswing/loop/net.py
+++ b/lapiswing/loop/net.py
@@ -24,6 +24,14 @@
     return sock
 
 
+def address_of(text):
+    """host:port -> (host, port); an IPv6 host stands in brackets. Raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
 def free_ports(n):
     """Ports of 127.0.0.1 that nobody listens on just now."""
     socks = [listen_socket("127.0.0.1", 0) for _ in range(n)]
--- a/lapiswing/settings/load.py
+++ b/lapiswing/settings/load.py
@@ -9,6 +9,7 @@
 
 from lapiswing.dns.codec import question
 from lapiswing.interface import EndpointGroup, Server
+from lapiswing.loop import address_of
 from lapiswing.settings import settings_pb2 as pb
 
 MS = 1000
@@ -217,9 +218,7 @@
     if records and not s.dns.server:
         yield "dns.server", "is missing: whom to ask"
     for i, server in enumerate(s.dns.server):
-        host, _, port = server.rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) < 65536:
-            yield f"dns.server[{i}]", f"{server!r} is not host:port"
+        yield from wrong_address(f"dns.server[{i}]", server)
     for field in ("service", "srv"):
         for i, name in enumerate(getattr(s.dns, field)):
             try:
@@ -303,12 +302,17 @@
         yield "log.format", f"{log.format!r} is neither text nor json"
 
 
+def wrong_address(field, text):
+    try:
+        address_of(text)
+    except ValueError as problem:
+        yield field, str(problem)
+
+
 def wrong_boxes(boxes, kinds):
     ids = [b.id for b in boxes]
     for i, b in enumerate(boxes):
-        host, _, port = b.id.rpartition(":")
-        if not host or not port.isdigit() or not 0 < int(port) < 65536:
-            yield f"box[{i}].id", f"{b.id!r} is not host:port"
+        yield from wrong_address(f"box[{i}].id", b.id)
         if ids.count(b.id) > 1:
             yield f"box[{i}].id", f"{b.id!r} stands twice"
         if b.kind not in kinds:
--- a/lapiswing/state/records.py
+++ b/lapiswing/state/records.py
@@ -13,8 +13,9 @@
 
 import msgspec
 
+from lapiswing.admission.repeats import DOUBT_WINDOWS
+
 RUNNING, DONE, DOUBT = 0, 1, 2
-DOUBT_WINDOWS = 12  # as admission.repeats
 
 
 class KeyRecord(msgspec.Struct, array_like=True):
--- a/lapiswing/store/engine.py
+++ b/lapiswing/store/engine.py
@@ -41,6 +41,16 @@
     return f"{number:08d}.hint"
 
 
+def take_lock(files):
+    """-> what holds it while it is kept. Raises StoreError."""
+    try:
+        return files.lock("LOCK")
+    except BlockingIOError:
+        raise StoreError("locked", "LOCK", "another process has this store open") from None
+    except OSError as problem:
+        raise StoreError("io", "LOCK", problem.strerror or str(problem)) from None
+
+
 class Engine:
     def __init__(self, files, worker, now_ms=lambda: time.time_ns() // 1_000_000, segment_bytes=SEGMENT_BYTES, log=None,
                  durable=True):
@@ -65,12 +75,7 @@
 
     def open(self):
         """Recovers what is there. Raises StoreError."""
-        try:
-            self.held = self.files.lock("LOCK")
-        except BlockingIOError:
-            raise StoreError("locked", "LOCK", "another process has this store open") from None
-        except OSError as problem:
-            raise StoreError("io", "LOCK", problem.strerror or str(problem)) from None
+        self.held = take_lock(self.files)
         try:
             names = set(self.files.names())
             if "MANIFEST" in names:
@@ -204,12 +209,7 @@
     # ---- files
 
     def new_segment(self, number):
-        name = segment_name(number)
-        if name in self.files.names():
-            self.files.remove(name)
-        fd = self.files.open(name, create=True)
-        self.files.write(fd, 0, segment_head(number))
-        self.files.sync(fd)
+        fd = self.begin_segment(number)
         self.files.sync_folder()
         self.fds[number], self.sizes[number], self.active = fd, HEAD.size, number
         self.segments.append(number)
--- a/lapiswing/store/index.py
+++ b/lapiswing/store/index.py
@@ -8,7 +8,7 @@
 class Index:
     def __init__(self):
         self.keys, self.snapshots = SortedDict(), []
-        self.live, self.total = {}, {}  # segment -> bytes of entries that count; of all
+        self.live = {}  # segment -> bytes of entries that count
         self.bytes = 0
 
     def begin_load(self):
@@ -99,9 +99,6 @@
             if entry is not None:
                 yield key, entry
 
-    def segments(self):
-        return {e[0] for e in self.old.values() if e is not None} | {e[0] for e in self.index.keys.values()}
-
     def close(self):
         if self in self.index.snapshots:
             self.index.snapshots.remove(self)
--- a/lapiswing/store/tools.py
+++ b/lapiswing/store/tools.py
@@ -3,7 +3,7 @@
 import os
 from typing import NamedTuple
 
-from lapiswing.store.engine import Engine, StoreError, hint_name, segment_name
+from lapiswing.store.engine import Engine, StoreError, hint_name, segment_name, take_lock
 from lapiswing.store.files import Files
 from lapiswing.store.format import (HEAD, HINT, MANIFEST, Damaged, Hint, Manifest, frames, outer, read_outer,
                                     read_segment_head)
@@ -19,7 +19,7 @@
 def verify(folder):
     """-> (findings, counts). Reads everything and changes nothing. Raises StoreError: locked, io."""
     files = Files(folder)
-    lock = take(files)
+    lock = take_lock(files)
     try:
         return look(files)
     except OSError as problem:
@@ -28,15 +28,6 @@
         lock.close()
 
 
-def take(files):
-    try:
-        return files.lock("LOCK")
-    except BlockingIOError:
-        raise StoreError("locked", "LOCK", "another process has this store open") from None
-    except OSError as problem:
-        raise StoreError("io", "LOCK", problem.strerror or str(problem)) from None
-
-
 def look(files):
     names, found, counts = set(files.names()), [], {"segments": 0, "frames": 0, "bytes": 0, "hints": 0, "last seq": 0}
     try:
@@ -113,7 +104,7 @@
     """Makes a store that can be opened out of what can be read, in order, up to the first byte that can't: later segments are left
     out, as they may build on what is lost. What was there is kept in the folder `keep`. -> lines that tell what was left out."""
     files = Files(folder)
-    lock = take(files)
+    lock = take_lock(files)
     try:
         os.makedirs(keep, exist_ok=False)
         logs = sorted(n for n in files.names() if n.endswith(".log") and n[:-4].isdigit())
--- a/lapiswing/tasks/decide.py
+++ b/lapiswing/tasks/decide.py
@@ -13,14 +13,13 @@
 
 class Job:
     __slots__ = ("name", "priority", "share", "bytes_s", "due_us", "added_us", "ran_us", "left_us", "left_bytes", "at_us",
-                 "slices", "spent_us", "moved", "state")
+                 "slices", "spent_us", "moved")
 
     def __init__(self, name, priority, now_us, share=1.0, bytes_s=None, due_us=None):
         self.name, self.priority, self.share, self.bytes_s, self.due_us = name, priority, share, bytes_s, due_us
         self.added_us = self.ran_us = self.at_us = now_us
         self.left_us, self.left_bytes = share * SPAN_US, float(bytes_s or 0)
         self.slices = self.spent_us = self.moved = 0
-        self.state = "waits"
 
     def refill(self, now_us):
         past = now_us - self.at_us
--- a/lapiswing/transfer/serve.py
+++ b/lapiswing/transfer/serve.py
@@ -9,7 +9,7 @@
 import orjson
 
 from lapiswing.http1 import Limits, Server
-from lapiswing.loop import Clock, Listener, Loop, listen_socket
+from lapiswing.loop import Clock, Listener, Loop, address_of, listen_socket
 from lapiswing.observe import CONTENT_TYPE, Metrics, counts_of
 from lapiswing.transfer.agent import Agent
 from lapiswing.transfer.certificates import CertificateError, Tls
@@ -38,7 +38,7 @@
         self.started_us = self.loop.clock.now_us()
         self.waiting, self.takes, self.keepers = {}, {}, {}  # name -> Wait; takes left; timers
         self.server = Server(self.loop, self.app, Limits(body_bytes=1 << 20, idle_us=600_000_000))
-        self.metrics, self.draining, self.listener, self.bad_tls = Metrics(self.measures), False, None, None
+        self.metrics, self.draining, self.listener = Metrics(self.measures), False, None
 
     def make_tls(self, s):
         if not s.HasField("tls"):
@@ -393,14 +393,6 @@
     return out
 
 
-def address_of(text):
-    """host:port -> (host, port). Raises ValueError."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is not host:port")
-    return host.strip("[]"), int(port)
-
-
 def row_of(state):
     m = state.manifest
     return {"name": state.name, "bytes": m.length, "chunks": m.count(), "chunk_bytes": m.chunk, "root": m.root.hex()}
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from whole import Place, Raw, chat, post, status
+from whole import Place, Raw, Taken, chat, post, status
 
 from lapiswing.admin.client import AdminError, ask, place_of
 from lapiswing.admin.feed import Feed
@@ -39,23 +39,9 @@
 
     def ask(self, path, where=None, method=b"GET", value=None, key=None):
         out = []
-
-        class Ear:
-            status, parts = None, ()
-
-            def on_head(self, status, fields):
-                self.status, self.parts = status, []
-
-            def on_body(self, data):
-                self.parts.append(data)
-
-            def on_end(self):
-                out.append((self.status, b"".join(self.parts)))
-
-            def on_fail(self, stage, why):
-                out.append((None, stage))
         fields = [(b"authorization", b"Bearer " + key.encode())] if key else []
-        self.pool.request(where or self.look, method, path.encode(), fields, json.dumps(value).encode() if value else b"", Ear())
+        self.pool.request(where or self.look, method, path.encode(), fields, json.dumps(value).encode() if value else b"",
+                          Taken(out.append))
         assert self.loop.run_until(lambda: out, 5 * S)
         status, body = out[0]
         return status, json.loads(body) if body[:1] == b"{" else body
@@ -245,21 +231,8 @@
     builds, real = [], desk.admin.build
     desk.admin.build = lambda wanted: (builds.append(wanted), real(wanted))[1]
     out = []
-
-    class Ear:
-        def on_head(self, status, fields):
-            out.append(status)
-
-        def on_body(self, data):
-            pass
-
-        def on_end(self):
-            pass
-
-        def on_fail(self, stage, why):
-            out.append(stage)
     for _ in range(20):
-        desk.pool.request(desk.look, b"GET", b"/v1/snapshot", [], b"", Ear())
+        desk.pool.request(desk.look, b"GET", b"/v1/snapshot", [], b"", Taken(lambda answer: out.append(answer[0])))
     assert desk.loop.run_until(lambda: len(out) == 20, 5 * S) and out == [200] * 20 and len(builds) == 1
 
 
--- a/tests/test_transfer_program.py
+++ b/tests/test_transfer_program.py
@@ -10,6 +10,7 @@
 
 import pytest
 from click.testing import CliRunner
+from whole import Taken
 
 from lapiswing.cli.main import main
 from lapiswing.loop import Clock, Loop, free_ports
@@ -186,29 +187,15 @@
         """One request; -> a list that the answer comes into, and what ends the connection."""
         from lapiswing.http1 import Pool
         out, pool = [], Pool(self.loop, 8)
-
-        class Ear:
-            status, parts = None, ()
-
-            def on_head(self, status, fields):
-                self.status, self.parts = status, []
-
-            def on_body(self, data):
-                self.parts.append(data)
-
-            def on_end(self):
-                out.append((self.status, json.loads(b"".join(self.parts))))
-
-            def on_fail(self, stage, why):
-                out.append((None, stage))
         exchange = pool.request(self.program.control, method.encode(), target.encode(), [],
-                                json.dumps(value).encode() if value is not None else b"", Ear())
+                                json.dumps(value).encode() if value is not None else b"", Taken(out.append))
         return out, exchange
 
     def answer(self, *args):
         out, _ = self.ask(*args)
         self.until(lambda: out)
-        return out[0]
+        status, body = out[0]
+        return status, json.loads(body)
 
     def close(self):
         self.program.close()
--- a/tests/whole.py
+++ b/tests/whole.py
@@ -109,6 +109,25 @@
         self.sock.close()
 
 
+class Taken:
+    """Handler of a request on `http1.Pool` whose answer is taken whole: `done((status, body))`, or `done((None, stage))`."""
+
+    def __init__(self, done):
+        self.done, self.status, self.parts = done, None, []
+
+    def on_head(self, status, fields):
+        self.status = status
+
+    def on_body(self, data):
+        self.parts.append(data)
+
+    def on_end(self):
+        self.done((self.status, b"".join(self.parts)))
+
+    def on_fail(self, stage, why):
+        self.done((None, stage))
+
+
 def post(body, close=True, **headers):
     """The bytes of a chat call."""
     data = body if isinstance(body, bytes) else orjson.dumps(body)
