A state that a writer could not fetch is let go at once

Cause: after 'full' with note 1 next_step forgot the holder; the state was only cut off, still held, and giving up released nothing. Now it is released with the note.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -587,7 +587,8 @@
         if code == "moot" or req.begun is not None or self.now + self.margin_us >= req.expires:
             return self.give_up(req)
         if code == "full" and stage == "write" and remark == 1:
-            req.holder = None
+            req.holder = None  # the state may only be cut off, and then still fills its reader
+            self.out.release(req.id)
         elif stage != "read" or code != "reset" or self.failing < 0.1:
             req.tried.add(machine.id)  # where answers get lost all over, its reader still keeps the text
         self.spare = max(-1.0, self.spare - 1)
