--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -276,11 +276,15 @@
                 # One forward alone may just be slow.
                 silent = quiet > max(600 * MS, 5 * usual + most) * (1 + 2 / len(m.waiting) ** 2)
                 overtaken = sent < m.answered_us and self.now - sent >= max(400 * MS, 4 * usual)
+                _, stage, _, _, fresh, ahead = req.forwards[number]
+                # Far behind what it should take alone: behind others' work, or its answer was lost.
+                late = stage == "read" and self.now - sent > max(
+                    0.25 * (req.target - req.arrived), 3 * ahead * self.cost_of(m))
                 if silent and not m.suspect:
                     self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
-                if not (silent or overtaken):
-                    break
-                harmless = req.forwards[number][1] == "read" or (
+                if not (silent or overtaken or late):
+                    continue
+                harmless = stage == "read" or (
                     overtaken and self.groups[req.group].effect == "replayable")
                 if harmless and not req.closed and self.may_cancel and self.spare >= 1 and (
                         len(req.forwards) < self.most_forwards - 1):
