--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -278,8 +278,10 @@
                 overtaken = sent < m.answered_us and self.now - sent >= max(400 * MS, 4 * usual)
                 _, stage, _, _, fresh, ahead = req.forwards[number]
                 # Far behind what it should take alone: behind others' work, or its answer was lost.
-                late = stage == "read" and self.now - sent > max(
-                    0.25 * (req.target - req.arrived), 3 * ahead * self.cost_of(m))
+                # Few at a time: where most are late, moving them only doubles the work.
+                late = stage == "read" and self.spare >= 8 and max(
+                    0.25 * (req.target - req.arrived), 3 * ahead * self.cost_of(m)) < self.now - sent < (
+                    min(req.target, req.expires) - self.now)
                 if silent and not m.suspect:
                     self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
                 if not (silent or overtaken or late):
@@ -289,6 +291,7 @@
                 if harmless and not req.closed and self.may_cancel and self.spare >= 1 and (
                         len(req.forwards) < self.most_forwards - 1):
                     self.out.retract(rid, number)
+                    self.spare -= 4 * (late and not silent and not overtaken)
 
     def mark(self, m, by, why):
         m.bad += (1 - m.bad) * by * max(0.2, 1 - 2.5 * self.failing)  # what all do says little of one
