--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -279,7 +279,7 @@
                 _, stage, _, _, fresh, ahead = req.forwards[number]
                 # Far behind what it should take alone: behind others' work, or its answer was lost.
                 # Few at a time: where most are late, moving them only doubles the work.
-                late = stage == "read" and self.spare >= 8 and max(
+                late = stage == "read" and max(
                     0.25 * (req.target - req.arrived), 3 * ahead * self.cost_of(m)) < self.now - sent < (
                     min(req.target, req.expires) - self.now)
                 if silent and not m.suspect:
@@ -291,7 +291,6 @@
                 if harmless and not req.closed and self.may_cancel and self.spare >= 1 and (
                         len(req.forwards) < self.most_forwards - 1):
                     self.out.retract(rid, number)
-                    self.spare -= 4 * (late and not silent and not overtaken)
 
     def mark(self, m, by, why):
         m.bad += (1 - m.bad) * by * max(0.2, 1 - 2.5 * self.failing)  # what all do says little of one
