--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -280,7 +280,7 @@
                 # Far behind what it should take alone: behind others' work, or its answer was lost.
                 # Few at a time: where most are late, moving them only doubles the work.
                 late = stage == "read" and max(
-                    0.25 * (req.target - req.arrived), 3 * ahead * self.cost_of(m)) < self.now - sent < (
+                    0.25 * (req.target - req.arrived), 3 * ahead * self.cost_of(m), 3 * self.read_mean) < self.now - sent < (
                     min(req.target, req.expires) - self.now)
                 if silent and not m.suspect:
                     self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
