Lost answers no longer look like a jam: middle waits, no read cost from time-outs

Lines at fault: learn_read from time-outs (one lost read made its kind ten times dearer), the mean of the waits, one write out taken for a queue. Ruled out: jammed readers (median read 280 ms, x1 under 10).

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -197,7 +197,8 @@
             pace[of] = np.maximum(0.5, (stream[of] + lean * whole) / (owed[of] + lean))
         read, reads_end = self.with_waits(self.readers, self.reads, self.r_at, False)
         wait, waits_end = self.with_waits(self.writers, self.waits, self.w_at, True)
-        self.expect = dict(zip((w.id for w in self.writers), waits_end.tolist()))
+        # For shedding the middle of each: lost answers are no queue, and no jam ends by shedding for them.
+        self.expect = dict(zip((w.id for w in self.writers), MIDDLES[(wait.cumsum(axis=1) < 0.5).sum(axis=1)].tolist()))
         # The middle one: a hung server's ages must not raise what is usual.
         self.read_mean, self.wait_mean = (np.sort(e)[(len(e) - 1) // 2] for e in (reads_end, waits_end))
         total = sum(m[0] for m in self.mix)
@@ -357,7 +358,7 @@
         allowed = min((req.target - self.now) * (0.5 if req.over else 0.8), req.expires - self.now - self.margin_us)
         # Never shed with less than this router's part waiting: else what a jam taught is never learnt again.
         waits = [self.expect.get(w.id, 0.0) for w in writers if not reader.writes] or [0.0]
-        unbegun, began = sum(len(w.waiting) for w in writers), self.took[self.w_at].sum()
+        unbegun, began = max(0, sum(len(w.waiting) for w in writers) - 1), self.took[self.w_at].sum()
         wait = min(1.5 * sum(waits) / len(waits), unbegun / max(0.5, began) * 1e6)
         # A rush shows before any wait is heard; could harm a router with far more than its part.
         full = not reader.writes and all(w.stream_tokens > w.memory and w.waiting for w in writers)
@@ -561,8 +562,8 @@
             self.mark(machine, 0.6 if code == "unreachable" else 0.3, f"{code} after {latency // MS} ms")
             if code == "timed_out" and stage == "write":
                 self.waits[machine.at, bisect_left(STEPS, latency)] += 1
-            elif code == "timed_out":
-                self.learn_read(machine, latency, ahead)
+            elif code == "timed_out":  # tells of the server; its cost a token would be all servers' of the kind
+                self.reads[machine.at, bisect_left(STEPS, latency)] += 1
         elif code in ("done", "read"):
             self.good(machine)
         if req.begun == number:
