A tenant's share counts what is sent; impatient tries beyond it are pushed back

Cause: the share was charged with every try, so the office was beyond it for good, yet its tries still got half of the allowance. Now a first read charges it, and a try whose client leaves before the target is pushed back while its tenant is beyond its share: load stays within the shares and what is sent succeeds.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -198,7 +198,8 @@
         read, reads_end = self.with_waits(self.readers, self.reads, self.r_at, False)
         wait, waits_end = self.with_waits(self.writers, self.waits, self.w_at, True)
         # For shedding the middle of each: lost answers are no queue, and no jam ends by shedding for them.
-        self.expect = dict(zip((w.id for w in self.writers), MIDDLES[(wait.cumsum(axis=1) < 0.5).sum(axis=1)].tolist()))
+        middle = MIDDLES[(wait.cumsum(axis=1) < 0.5).sum(axis=1)].tolist()
+        self.expect = dict(zip((w.id for w in self.writers), middle))
         # The middle one: a hung server's ages must not raise what is usual.
         self.read_mean, self.wait_mean = (np.sort(e)[(len(e) - 1) // 2] for e in (reads_end, waits_end))
         total = sum(m[0] for m in self.mix)
@@ -281,8 +282,8 @@
                 # Far behind what it should take alone: behind others' work, or its answer was lost.
                 # Few at a time: where most are late, moving them only doubles the work.
                 late = stage == "read" and max(
-                    0.25 * (req.target - req.arrived), 3 * ahead * self.cost_of(m), 3 * self.read_mean) < self.now - sent < (
-                    min(req.target, req.expires) - self.now)
+                    0.25 * (req.target - req.arrived), 3 * ahead * self.cost_of(m), 3 * self.read_mean
+                ) < self.now - sent < min(req.target, req.expires) - self.now
                 if silent and not m.suspect:
                     self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
                 if not (silent or overtaken or late):
@@ -343,7 +344,6 @@
             if sum(self.heat.values()) > 80:
                 self.heat = {key: n / 2 for key, n in self.heat.items() if n > 0.5}
         if req.tenant < len(self.quota):
-            self.quota_left[req.tenant] = max(-self.quota[req.tenant] - 2, self.quota_left[req.tenant] - 1)
             req.over = self.quota_left[req.tenant] < 0
         self.read(req)
 
@@ -355,7 +355,8 @@
         if reader is None or not (reader.writes or writers):
             return self.give_up(req)
         # Its client may leave before the target: what takes longer is work for nobody.
-        allowed = min((req.target - self.now) * (0.5 if req.over else 0.8), req.expires - self.now - self.margin_us)
+        patience = req.expires - self.now - self.margin_us
+        allowed = min((req.target - self.now) * (0.5 if req.over else 0.8), patience)
         # Never shed with less than this router's part waiting: else what a jam taught is never learnt again.
         waits = [self.expect.get(w.id, 0.0) for w in writers if not reader.writes] or [0.0]
         unbegun, began = max(0, sum(len(w.waiting) for w in writers) - 1), self.took[self.w_at].sum()
@@ -364,9 +365,14 @@
         full = not reader.writes and all(w.stream_tokens > w.memory and w.waiting for w in writers)
         mine = max(self.reads_out, self.chance() / 4) * self.gateways > len(self.readers)
         late = full or ready_us + wait > allowed and (reader.out_tokens > 0 or mine or wait > allowed / 2)
+        # Clients that leave before the target and come again at once fill all readers; could harm a share
+        # that is sent to few gateways only.
+        late = late or req.over and req.expires < req.target and not req.forwards
         self.mode("shedding", late, "read %d ms, wait %d of %d" % (ready_us / MS, wait / MS, allowed / MS))
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us + wait - allowed / 2))
+        if req.tenant < len(self.quota) and not req.forwards:
+            self.quota_left[req.tenant] = max(-self.quota[req.tenant] - 2, self.quota_left[req.tenant] - 1)
         kept, known = reader.kept, self.known(req, reader)
         if len(kept) > 2000:
             kept.clear()
@@ -562,7 +568,7 @@
             self.mark(machine, 0.6 if code == "unreachable" else 0.3, f"{code} after {latency // MS} ms")
             if code == "timed_out" and stage == "write":
                 self.waits[machine.at, bisect_left(STEPS, latency)] += 1
-            elif code == "timed_out":  # tells of the server; its cost a token would be all servers' of the kind
+            elif code == "timed_out":  # tells of this server, not of what its whole kind costs a token
                 self.reads[machine.at, bisect_left(STEPS, latency)] += 1
         elif code in ("done", "read"):
             self.good(machine)
