Each cell's link has its own strain, and its load by all routers counts in the shares

Measured from the wire: a cell with five readers and no writer sends 820,000 tokens over its one link, which takes 94 us a token at the least, in 50 s: 77 s of work; first tokens there come after 1.2 s (median) while moves inside a cell take 25 ms. Lines at fault: one slope for each nearness over all cells, its rest booked as the writer's wait; no load term for links. Ruled out: readers (100 to 170 ms), writers (no queue). Now a way's cost is the least seen a token, a cell's strain multiplies it, and the moves that the shares mean for all routers worsen pairs that leave the cell, as reads do.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -76,7 +76,8 @@
         self.reads, self.waits = np.zeros((2, 0, len(MIDDLES)))  # bins of reads; of waits for a writer
         # Served since the last refresh and a second on average; stream time, what it should be; open streams.
         self.taken, self.took, self.stream_us, self.owed_us, self.begun = np.zeros((5, 0))
-        self.transfer, self.near = [0.0] * 3, [[0.0] * 5] * 3  # same cell, same zone, other
+        self.transfer, self.near = [0.0] * 3, [0.0] * 5  # a token's cost: same cell, same zone, other
+        self.links = {}  # by reader's cell: time of moves that left it, what they take on a free link
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
         self.kind_took = [[0.0, 1.0] for _ in self.kinds]  # served by warm servers of a kind, their seconds
         self.kind_cost = [[0.0, 0.0] for _ in self.kinds]  # read time and tokens lately
@@ -175,7 +176,7 @@
             self.halved_us, self.seen = self.now, 0
             self.reads, self.waits = self.reads / 2, self.waits / 2
             self.stream_us, self.owed_us = self.stream_us * 0.7, self.owed_us * 0.7
-            self.near, self.mix = ([[v / 2 for v in sums] for sums in t] for t in (self.near, self.mix))
+            self.near, self.mix = [v / 2 for v in self.near], [[v / 2 for v in sums] for sums in self.mix]
             self.read_tokens, self.read_span = self.read_tokens / 2, self.read_span / 2
             for m in self.readers:
                 m.read_us, m.read_tokens = m.read_us / 2, m.read_tokens / 2
@@ -183,10 +184,9 @@
     def refresh(self):
         if not self.pairs.size:
             return
-        for i, (n, t, l, tl, tt) in enumerate(self.near):
-            spread = n * tt - t * t
-            if n > 4 and spread > 0:
-                self.transfer[i] = max(0.0, min((n * tl - t * l) / spread, l / t))
+        n, t, l, tl, tt = self.near
+        if n > 4 and n * tt > t * t:
+            self.transfer[0] = max(0.0, min((n * tl - t * l) / (n * tt - t * t), l / t))
         usual = sum(self.answer_us) / max(1, len(self.answer_us))
         stream, owed = self.stream_us[self.w_at], self.owed_us[self.w_at]
         stream = stream * (max(1, owed.sum()) / (stream.sum() or 1))
@@ -206,21 +206,30 @@
         tokens = sum(m[1] for m in self.mix) / (total or 1.0)
         # How many wait bins each read bin leaves the writer, a table for each nearness.
         begins = np.concatenate((np.zeros((len(self.writers), 1)), np.cumsum(wait, axis=1)), axis=1)
-        value = np.full((3, *self.open.shape), 0.0 if total else 1.0)
-        alone = value[0, :, 0].copy()
+        value = np.full(self.open.shape, 0.0 if total else 1.0)
+        alone = value[:, 0].copy()
+        hops = [[self.transfer[0], self.hop(r, 1), self.hop(r, 2)] for r in self.readers]
+        moves, rows = tokens * np.array(hops)[:, :, None], np.arange(len(self.readers))[:, None]
+        columns = np.arange(len(self.writers))
         for m, g in zip(self.mix, self.groups):
             if m[0] > 0:
                 left = g.target_us + g.target_per_1000_us * m[1] / m[0] / 1000 - MIDDLES
                 alone += m[0] / total * (read @ (left > 0))
-                for i in range(3):
-                    over = left - tokens * self.transfer[i]
-                    bins = np.where(over > 0, np.searchsorted(EDGES, over) + 1, 0)
-                    value[i] += m[0] / total * (read @ begins[:, bins].T)
-        value = np.where(self.mixed, alone[:, None], np.choose(self.nearness, value))
+                bins = np.where(left > moves, np.searchsorted(EDGES, left - moves) + 1, 0)
+                ways = np.einsum("rk,wrik->rwi", read, begins[:, bins])
+                value += m[0] / total * ways[rows, columns, self.nearness]
+        value = np.where(self.mixed, alone[:, None], value)
         value = value * np.minimum(1.0, 1.5 / pace)
         value *= np.outer([1 - r.bad for r in self.readers], [1 - w.bad for w in self.writers])
         self.move_shares(value - self.price)
 
+    def hop(self, reader, way):
+        """Time a token that a move out of its cell takes: what the way takes when free, times the strain
+        that this router's own moves found on the one link of the reader's cell, leaning on a free one."""
+        took, free = self.links.get(reader.cell, (0.0, 0.0))
+        lean = 2000 * self.transfer[way] + 1
+        return self.transfer[way] * (took + lean) / (free + lean)
+
     def with_waits(self, machines, table, at, writing):  # parts of 1, leaning on the kind's; ages count
         bins, kinds = table[at], np.array([m.kind for m in machines])
         whole = bins.sum(axis=0)
@@ -249,10 +258,15 @@
         known = n / (n + 1)  # a writer's own streams say something of it only where each has some
         fixed = base - 0.1 * (np.array([r.out_tokens for r in self.readers]) * cost / (1000 * MS))[:, None]
         own = known * np.array([w.stream_tokens for w in self.writers])
+        # All routers' moves share the one link of a cell: their part of its time, from own prompts and shares.
+        flow = sum(m[1] for m in self.mix) * self.gateways / self.read_span
+        hops = flow * np.array(self.transfer)[self.nearness] * (self.nearness > 0) * ~self.mixed
+        cells = np.unique([r.cell for r in self.readers], return_inverse=True)[1]
         for _ in range(MOVES):
             used = (own + (2 - known) * streams * self.pairs.sum(axis=0)) / memory
             load = 0.15 * (work * self.pairs.sum(axis=1)) ** 2
-            score = np.round(fixed - load[:, None] - 0.4 * used * used, 6)
+            link = np.minimum(2.0, np.bincount(cells, (hops * self.pairs).sum(axis=1))[cells]) ** 2
+            score = np.round(fixed - load[:, None] - 0.4 * used * used - 0.3 * link[:, None] * (hops > 0), 6)
             order = np.argsort(np.where(self.open > 0, score, -9e9), axis=None, kind="stable")
             flat, score = self.pairs.reshape(-1), score.reshape(-1)
             worst = order[flat[order] > FLOOR * equal][:taking]
@@ -512,9 +526,17 @@
         if stage == "write" and req.holder is not None:
             holder = req.holder
             way = 0 if holder.cell == machine.cell else 1 + (holder.zone != machine.zone)
-            seen = (1, req.tokens, latency, req.tokens * latency, req.tokens * req.tokens)
-            self.near[way] = [a + b for a, b in zip(self.near[way], seen)]
-            self.waits[machine.at, bisect_left(STEPS, latency - req.tokens * self.transfer[way])] += 1
+            if way == 0:
+                seen = (1, req.tokens, latency, req.tokens * latency, req.tokens * req.tokens)
+                self.near = [a + b for a, b in zip(self.near, seen)]
+            elif req.tokens > 500:  # free: about the least seen; a crowded link takes much more
+                least = self.transfer[way] * 1.02 or latency / req.tokens
+                self.transfer[way] = min(least, latency / req.tokens)
+            wait = latency - req.tokens * (self.hop(holder, way) if way else self.transfer[0])
+            self.waits[machine.at, bisect_left(STEPS, wait)] += 1
+            if way:
+                took, free = self.links.get(holder.cell, (0.0, 0.0))
+                self.links[holder.cell] = took * 0.85 + latency, free * 0.85 + req.tokens * self.transfer[way]
         elif stage == "direct":
             self.learn_read(machine, latency, ahead)
             machine.out_tokens, self.reads_out = machine.out_tokens - fresh, self.reads_out - 1
