--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -359,8 +359,13 @@
                 self.heat = {key: n / 2 for key, n in self.heat.items() if n > 0.5}
         if req.tenant < len(self.quota):
             req.over = self.quota_left[req.tenant] < 0
+            if expires >= target:
+                self.charge(req)
         self.read(req)
 
+    def charge(self, req):
+        self.quota_left[req.tenant] = max(-self.quota[req.tenant] - 2, self.quota_left[req.tenant] - 1)
+
     def read(self, req):
         if len(req.forwards) >= self.most_forwards - 1 or self.now + self.margin_us >= req.expires:
             return self.give_up(req)
@@ -385,8 +390,8 @@
         self.mode("shedding", late, "read %d ms, wait %d of %d" % (ready_us / MS, wait / MS, allowed / MS))
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us + wait - allowed / 2))
-        if req.tenant < len(self.quota) and not req.forwards:
-            self.quota_left[req.tenant] = max(-self.quota[req.tenant] - 2, self.quota_left[req.tenant] - 1)
+        if req.tenant < len(self.quota) and not req.forwards and req.expires < req.target:
+            self.charge(req)
         kept, known = reader.kept, self.known(req, reader)
         if len(kept) > 2000:
             kept.clear()
@@ -543,12 +548,13 @@
             req.forwards[number][4] = 0
         req.holder = None
 
-    def learn_read(self, machine, latency, ahead):
+    def learn_read(self, machine, latency, ahead, weight=0.25):
         self.reads[machine.at, bisect_left(STEPS, latency)] += 1
         machine.read_us = machine.read_us * 0.85 + latency
         machine.read_tokens = machine.read_tokens * 0.85 + max(200, ahead)
         sums = self.kind_cost[machine.kind]
-        sums[:] = sums[0] * 0.75 + latency, sums[1] * 0.75 + max(200, ahead)
+        if weight:
+            sums[:] = sums[0] * 0.75 + latency, sums[1] * 0.75 + max(200, ahead)
 
     def on_outcome(self, rid, number, server, code, latency, ended, remark, report):
         machine = self.machines.get(server)
@@ -591,7 +597,7 @@
             if code == "timed_out" and stage == "write":
                 self.waits[machine.at, bisect_left(STEPS, latency)] += 1
             elif code == "timed_out":  # tells of this server, not of what its whole kind costs a token
-                self.reads[machine.at, bisect_left(STEPS, latency)] += 1
+                self.learn_read(machine, latency, ahead, 0.0)
         elif code in ("done", "read"):
             self.good(machine)
         if req.begun == number:
