--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -359,13 +359,8 @@
                 self.heat = {key: n / 2 for key, n in self.heat.items() if n > 0.5}
         if req.tenant < len(self.quota):
             req.over = self.quota_left[req.tenant] < 0
-            if expires >= target:
-                self.charge(req)
         self.read(req)
 
-    def charge(self, req):
-        self.quota_left[req.tenant] = max(-self.quota[req.tenant] - 2, self.quota_left[req.tenant] - 1)
-
     def read(self, req):
         if len(req.forwards) >= self.most_forwards - 1 or self.now + self.margin_us >= req.expires:
             return self.give_up(req)
@@ -390,8 +385,8 @@
         self.mode("shedding", late, "read %d ms, wait %d of %d" % (ready_us / MS, wait / MS, allowed / MS))
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us + wait - allowed / 2))
-        if req.tenant < len(self.quota) and not req.forwards and req.expires < req.target:
-            self.charge(req)
+        if req.tenant < len(self.quota) and not req.forwards:
+            self.quota_left[req.tenant] = max(-self.quota[req.tenant] - 2, self.quota_left[req.tenant] - 1)
         kept, known = reader.kept, self.known(req, reader)
         if len(kept) > 2000:
             kept.clear()
