A link's load counts from four tenths of its time on; a text always has a home

Cause of the loss: a link used for a third of its time still moved shares, and with them the homes of texts. Cause of the crash: halved counts under one made the chance that two reqs share a prefix negative, and two readers near the best gave no home at all.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -265,8 +265,9 @@
         for _ in range(MOVES):
             used = (own + (2 - known) * streams * self.pairs.sum(axis=0)) / memory
             load = 0.15 * (work * self.pairs.sum(axis=1)) ** 2
-            link = np.minimum(2.0, np.bincount(cells, (hops * self.pairs).sum(axis=1))[cells]) ** 2
-            score = np.round(fixed - load[:, None] - 0.4 * used * used - 0.3 * link[:, None] * (hops > 0), 6)
+            link = np.bincount(cells, (hops * self.pairs).sum(axis=1))[cells]
+            link = np.clip(link - 0.4, 0.0, 2.0) ** 2  # little used it delays nobody, and shares need not move
+            score = np.round(fixed - load[:, None] - 0.4 * used * used - 0.6 * link[:, None] * (hops > 0), 6)
             order = np.argsort(np.where(self.open > 0, score, -9e9), axis=None, kind="stable")
             flat, score = self.pairs.reshape(-1), score.reshape(-1)
             worst = order[flat[order] > FLOOR * equal][:taking]
@@ -426,7 +427,7 @@
             # for all gateways, so that a jam does not scatter texts.
             # Ranks follow the shares the more, the less this router's own reads tell of each reader.
             by = max(0.0, 1 - self.reads.sum() / (4 * len(self.readers)))
-            homes = max(min(2, len(near) // 3), ceil(2 * len(near) * self.heat_of(key)))
+            homes = max(1, min(2, len(near) // 3), ceil(2 * len(near) * self.heat_of(key)))
             near.sort(key=lambda r: -log(1 - self.hash(key, r)) / self.share[r.id] ** by)
             ranked = sorted(near[:homes], key=lambda r: self.hash(req.session, r)) + near[homes:2 * homes]
             drawn = next((r for r in ranked if r in fit), None) or ranked[0]
@@ -436,7 +437,7 @@
 
     def heat_of(self, key):  # its part of the reqs, leaning on the chance that two share their prefix
         n, start = sum(self.heat.values()), 0.25 / max(1, len(self.readers))
-        alike = (sum(h * (h - 1) for h in self.heat.values()) + 50 * start) / (n * (n - 1) + 50)
+        alike = (sum(h * max(0, h - 1) for h in self.heat.values()) + 50 * start) / (n * (n - 1) + 50)
         return (max(0, self.heat.get(key, 0) - 1) + 10 * alike) / (n + 10)
 
     def cost_of(self, r):
