What writers tell of their memory worsens their pairs

Measured from the wire: the writers of two cells tell 0.9 of their memory held and 8 to 12 waiting, those of the third 0.3 to 0.5 and none; reads take 0.2 s. Ruled out: readers, links (moves out of the cell take 0.1 s), the loss of 17 gateways. Cause: at one req a second a gateway sees a writer's wait too seldom; x0 of the reports was not passed on to anything. Now the adapter names x0 and x1 by what the settings say they mean, and the told share of memory, with a half life of 5 s leaning on the mean, worsens a writer's pairs.

--- a/lapiswing/benchlink/wire.py
+++ b/lapiswing/benchlink/wire.py
@@ -37,7 +37,8 @@
 
 
 def report(pairs):
-    return pairs or None
+    """x0 and x1 under what family_info says that they mean: memory held, thousands of tokens to read or fetch."""
+    return {{"x0": "held", "x1": "unread"}.get(name, name): value for name, value in pairs.items()} if pairs else None
 
 
 # wire event -> (module event, (wire field, translation, may be missing)...)
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -21,6 +21,7 @@
 MIDDLES = np.concatenate(([10 * MS], (EDGES[1:] + EDGES[:-1]) // 2, [8000 * MS]))
 STEPS = EDGES.tolist()
 PRIOR = 2.0  # outcomes' worth of its kind's average in each server's histogram
+HELD_US, TOLD = 5000 * MS, 0.4  # half life of what a writer told of its memory; what a full one takes off
 COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
@@ -32,6 +33,7 @@
         self.out_tokens = self.stream_tokens = self.read_us = self.read_tokens = 0  # own; heard
         self.trust, self.kept = 1.0, {}  # part of the text believed kept here that reads did find
         self.waiting, self.heard_us, self.told_us, self.told_at = {}, 0, 0, 0
+        self.held, self.held_at = 0.0, -1 << 40  # share of its memory that it last told as held
         self.answered_us = 0  # when the latest-sent of the answered forwards was sent
         self.budget, self.budget_us, self.budget_for = 0.0, 0, 0  # forwards that it may be sent while cold
         self.listed(row, kinds)
@@ -258,7 +260,12 @@
         known = n / (n + 1)  # a writer's own streams say something of it only where each has some
         fixed = base - 0.1 * (np.array([r.out_tokens for r in self.readers]) * cost / (1000 * MS))[:, None]
         own = known * np.array([w.stream_tokens for w in self.writers])
-        # All routers' moves share the one link of a cell: their part of its time, from own prompts and shares.
+        # What writers told of their memory, leaning on the mean of all as it grows old.
+        fresh = 0.5 ** (np.array([self.now - w.held_at for w in self.writers]) / HELD_US)
+        held = np.array([w.held for w in self.writers])
+        held = fresh * held + (1 - fresh) * (fresh @ held / max(1e-9, fresh.sum()))
+        fixed = fixed - TOLD * held * held
+        # All routers use the one link of a cell: their part of its time, from own prompts and shares.
         flow = sum(m[1] for m in self.mix) * self.gateways / self.read_span
         hops = flow * np.array(self.transfer)[self.nearness] * (self.nearness > 0) * ~self.mixed
         cells = np.unique([r.cell for r in self.readers], return_inverse=True)[1]
@@ -266,7 +273,7 @@
             used = (own + (2 - known) * streams * self.pairs.sum(axis=0)) / memory
             load = 0.15 * (work * self.pairs.sum(axis=1)) ** 2
             link = np.bincount(cells, (hops * self.pairs).sum(axis=1))[cells]
-            link = np.clip(link - 0.4, 0.0, 2.0) ** 2  # little used it delays nobody, and shares need not move
+            link = np.clip(link - 0.4, 0.0, 2.0) ** 2  # little used it delays nobody
             score = np.round(fixed - load[:, None] - 0.4 * used * used - 0.6 * link[:, None] * (hops > 0), 6)
             order = np.argsort(np.where(self.open > 0, score, -9e9), axis=None, kind="stable")
             flat, score = self.pairs.reshape(-1), score.reshape(-1)
@@ -554,6 +561,8 @@
 
     def on_outcome(self, rid, number, server, code, latency, ended, remark, report):
         machine = self.machines.get(server)
+        if machine is not None and report and report.get("held") is not None:
+            machine.held, machine.held_at = report["held"], self.now
         if machine is not None and report and report.get("queue") is not None:
             served, seconds = self.kind_took[machine.kind]  # at its kind's rate of serving all routers
             machine.told_us = report["queue"] / max(1.0, served / seconds * self.gateways) * 1e6
