What the decisions learnt outlives a move; settings for told memory and for boxes that go on

The module says what carries over (learnt, take_up): lengths of answers by group, read cost and rate served by kind, trouble and read cost of a box by id and start; all else starts afresh. The store keeps it as record l/, every 30 s and at a drain; missing, damaged, outdated or senseless records mean a fresh start with a line.

--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -89,7 +89,7 @@
         self.loop, self.engine, self.membership, self.repeats, self.lines = loop, engine, membership, repeats, log
         self.settings, self.limits, self.groups = settings, settings.limits, settings.group
         self.facts = router_settings["groups"]
-        self.margin_us = self.limits.margin_ms * MS
+        self.margin_us, self.load_memory = self.limits.margin_ms * MS, settings.mapping.load_memory
         self.roles, self.name = roles, name
         self.events, self.reqs, self.count, self.ended = [], {}, 0, []
         self.kinds = {}  # box -> kind, also of those that have left the list
@@ -467,6 +467,8 @@
             # Its writer could not fetch it, which may be because the holder hangs with it still held.
             self.release(rid)
         ended = req.over or begun or code == "done"
+        if report is not None and self.load_memory in report:
+            report = {**report, "held": report[self.load_memory]}
         self.events.append(("outcome", rid, number, out.server, code, latency, ended, remark, report))
         if report is not None and "draining" in report:
             self.tell_members(self.membership.said(out.server, report["draining"] > 0))
--- a/lapiswing/gateway/serve.py
+++ b/lapiswing/gateway/serve.py
@@ -31,6 +31,7 @@
 
 MS = 1000
 CHORES_US = 5_000 * MS
+LEARNT_EVERY = 6  # of the chores: how often what the decisions learnt is put down
 
 
 class Gateway:
@@ -125,10 +126,40 @@
         found = core.memory.restore(core.repeats, core.membership, core.caps, [t.name for t in self.settings.tenant])
         self.log.info("remembered", keys=len(found.keys), drains=len(found.drains), caps=len(found.caps),
                       unreadable=found.unreadable or None, ms=round((time.monotonic() - start) * 1000))
+        self.take_up(found)
         self.loop.call_later(CHORES_US, self.chores)
 
+    def take_up(self, found):
+        """Gives the decisions what an earlier life of them learnt; what is taken up of it is their affair. Whatever can't be
+        used means a fresh start and a line that says why."""
+        record, router = found.learnt, self.core.router
+        if record is None or not hasattr(router, "take_up"):
+            return self.log.info("learnt figures", start="fresh", why=found.learnt_why)
+        now_ms = (self.loop.clock.now_us() - self.unix_offset_us) // MS
+        try:
+            figures = {**record.figures, "boxes": [
+                [box, max(1, self.unix_to_us(started)) if started else 0, *rest] for box, started, *rest in record.figures["boxes"]]}
+            said = router.take_up(figures, (now_ms - record.saved_unix_ms) * MS)
+        except (ValueError, TypeError, LookupError) as problem:
+            return self.log.warning("learnt figures", start="fresh", why=f"can't be used: {problem}")
+        self.log.info("learnt figures", said=said)
+
+    def put_learnt(self):
+        if not hasattr(self.core.router, "learnt"):
+            return
+        figures = self.core.router.learnt()
+        # Start times as Unix milliseconds: the loop's own time means nothing to the next life.
+        figures["boxes"] = [[box, round((started - self.unix_offset_us) / MS) if started else 0, *rest]
+                            for box, started, *rest in figures["boxes"]]
+        self.core.memory.learnt(figures)
+
+    chores_done = 0
+
     def chores(self):
         self.loop.call_later(CHORES_US, self.chores)
+        self.chores_done += 1
+        if self.chores_done % LEARNT_EVERY == 0:
+            self.put_learnt()
         names = {row["name"] for row in self.tasks.rows()}
         if self.store.wants_compaction() and "compaction" not in names:
             self.tasks.add("compaction", self.store.compact(), priority=7, share=0.1)
@@ -178,6 +209,8 @@
         self.drain()
 
     def drain(self):
+        if self.store is not None:
+            self.put_learnt()
         self.core.changed("gateway", text="draining")
         self.log.info("draining", open=self.core.open, limit_ms=self.settings.gateway.drain_limit_ms)
         self.server.drain()
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -22,6 +22,7 @@
 STEPS = EDGES.tolist()
 PRIOR = 2.0  # outcomes' worth of its kind's average in each server's histogram
 HELD_US, TOLD = 5000 * MS, 0.4  # half life of what a writer told of its memory; what a full one takes off
+LEARNT_US = 600 * 1000 * MS  # figures of an earlier life older than this are not taken up
 COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
@@ -90,6 +91,40 @@
         self.answer_us = [0.0] * len(self.groups)  # answer length, as time
         self.spare = 10.0
         self.read_mean, self.wait_mean, self.modes, self.now, self.pause_us = 0.0, 0.0, {}, now_us, 1000 * MS
+        self.names, self.carried = settings.get("kinds") or [], {}  # of kinds; boxes of an earlier life
+
+    def learnt(self):
+        """What a later life may start from, plain lists by names and ids: answers' lengths, of each kind its
+        read cost and what all routers together were served by one, of each box its trouble and read cost."""
+        kinds = [[name, role, *cost, float(took[0] / took[1]) * self.gateways] for name, (role, _), cost, took
+                 in zip(self.names, self.kinds, self.kind_cost, self.kind_took)]
+        boxes = [[m.id, m.started_us, m.bad, m.read_us, m.read_tokens] for m in self.machines.values()
+                 if m.mode == "ready" and (m.bad > 0.01 or m.read_tokens)]
+        groups = [[g.name, us] for g, us in zip(self.groups, self.answer_us)]
+        return {"groups": groups, "kinds": kinds, "boxes": boxes}
+
+    def take_up(self, learnt, age_us):
+        """Starts from an earlier life's figures, told before the first list; -> a line on what was taken up.
+        Kinds and groups count by name, so they outlive a move; a box only as the same start of it. Shares,
+        links, waits, texts and tenants' shares belong to the old shape and start afresh. Raises ValueError,
+        TypeError or LookupError on what can't be read, and then nothing is taken up."""
+        if not 0 <= age_us <= LEARNT_US:
+            return f"nothing taken up: {age_us // (1000 * MS)} s old"
+        numbers = [x for rows in learnt.values() for row in rows for x in row if not isinstance(x, str)]
+        if not all(0 <= x < 1 << 62 for x in numbers):
+            raise ValueError("a figure is out of range")
+        groups = {name: float(us) for name, us in learnt["groups"]}
+        kinds = {(name, role): (float(us), float(tokens), float(rps))
+                 for name, role, us, tokens, rps in learnt["kinds"]}
+        boxes = {box: (int(started), min(1.0, bad), float(us), float(tokens))
+                 for box, started, bad, us, tokens in learnt["boxes"]}
+        self.answer_us, self.carried = [groups.get(g.name, 0.0) for g in self.groups], boxes
+        known = [kinds.get((name, role)) for name, (role, _) in zip(self.names, self.kinds)]
+        for i, (us, tokens, rps) in [(i, row) for i, row in enumerate(known) if row]:
+            self.kind_cost[i], self.kind_took[i] = [us, tokens], [rps / self.gateways, 1.0]
+        return "taken up: %d of %d kinds, %d of %d groups, %d boxes" % (
+            sum(row is not None for row in known), len(self.kinds), sum(us > 0 for us in self.answer_us),
+            len(self.groups), len(boxes))
 
 
     def round(self, now_us, events, out):
@@ -112,7 +147,11 @@
             return
         for row in rows:
             if row.id not in self.machines:
-                self.machines[row.id] = Machine(row, self.kinds, len(self.machines))
+                machine = self.machines[row.id] = Machine(row, self.kinds, len(self.machines))
+                started, bad, us, tokens = self.carried.pop(row.id, (-1, 0, 0, 0))
+                if abs(started - row.started_us) < MS:  # the same start of it: a clock that was set hides it
+                    machine.bad, machine.read_us, machine.read_tokens = bad, us, tokens
+                    machine.suspect = bad > 0.5
             machine = self.machines[row.id]
             if row.started_us != machine.started_us:  # it has kept nothing, and its old troubles are over
                 machine.kept, machine.bad, machine.suspect = {}, 0.0, False
--- a/lapiswing/settings/load.py
+++ b/lapiswing/settings/load.py
@@ -238,6 +238,10 @@
     if s.limits.max_forwards < 2:
         yield "limits.max_forwards", "a req needs a read and a write: at least 2"
     yield from wrong_log(s.log)
+    if s.mapping.load_memory in ("queue", "inflight", "draining"):
+        yield "mapping.load_memory", f"{s.mapping.load_memory!r} tells something else"
+    if s.mapping.load_memory and not re.fullmatch(r"[A-Za-z_][\w.-]{0,63}", s.mapping.load_memory):
+        yield "mapping.load_memory", f"{s.mapping.load_memory!r} is no name of a figure"
     if s.mapping.bytes_per_token <= 0:
         yield "mapping.bytes_per_token", "must be above 0"
     seen = {}
@@ -370,8 +374,8 @@
         "balancers": s.gateway.gateways, "me": s.gateway.index, "az": zones(s.gateway.zone),
         "resolution_us": s.limits.margin_ms * MS, "groups": groups,
         "tenants": [{"name": t.name, "quota_rps": t.quota_rps or 1e9} for t in s.tenant],
-        "membership_mode": "automatic",
-        "limits": {"max_attempts": s.limits.max_forwards, "retry_after": True, "cancel": True,
+        "membership_mode": "automatic", "kinds": [k.name for k in s.kind],
+        "limits": {"max_attempts": s.limits.max_forwards, "retry_after": True, "cancel": not s.limits.keep_forwards,
                    "max_retry_after_us": s.limits.max_come_back_ms * MS},
         "rules": {"cold_from": s.rules.cold_from, "ramp_time_us": s.rules.ramp_ms * MS,
                   "fall_multiple": s.rules.fall_multiple, "overload_for_us": s.rules.overload_ms * MS},
--- a/lapiswing/state/memory.py
+++ b/lapiswing/state/memory.py
@@ -85,6 +85,11 @@
         value = msgspec.msgpack.encode(records.CapRecord(float(rps), until_unix_ms)) if rps is not None else None
         self.put(b"c/" + tenant.encode(), value, until_unix_ms if value else 0, done)
 
+    def learnt(self, figures):
+        """Puts down what the decisions learnt; lost without harm."""
+        if self.engine is not None and self.engine.mode == "good":
+            self.engine.put([(records.LEARNT, records.learnt(figures, self.unix_ms()), 0)], lambda why: None)
+
     def put(self, name, value, expires, done):
         """`done(why)`; at once where nothing is remembered."""
         if self.engine is None:
--- a/lapiswing/state/records.py
+++ b/lapiswing/state/records.py
@@ -3,6 +3,7 @@
     k/KEY   an idempotency key: what became of its call
     d/BOX   an operator drains this box
     c/NAME  a cap on a tenant
+    l/      what the decisions learnt of the boxes, for the next life
 
 What must be on the disk before what:
     the intent of a call with a key      before the first forward of it that may run an effect
@@ -32,11 +33,27 @@
     until_unix_ms: int
 
 
+LEARNT = b"l/"
+LEARNT_FORM = 1  # of the record; one of another form is outdated
+
+
+class LearntRecord(msgspec.Struct, array_like=True):
+    form: int
+    saved_unix_ms: int
+    figures: dict[str, list]
+
+
 class Restored(NamedTuple):
     keys: list  # (key, state, fingerprint, window_us, wide, sent unix ms, ends unix ms, answer)
     drains: list
     caps: list  # (tenant, rps, until unix ms)
     unreadable: int
+    learnt: LearntRecord | None = None
+    learnt_why: str = "no record"  # why there is none
+
+
+def learnt(figures, unix_ms):
+    return msgspec.msgpack.encode(LearntRecord(LEARNT_FORM, unix_ms, figures))
 
 
 def key_name(key):
@@ -58,7 +75,7 @@
 
 def restore(rows, now_unix_ms):
     """(key, value, expires) of the store -> Restored. What is over is left out; what can't be read is counted, never guessed."""
-    keys, drains, caps, bad = [], [], [], 0
+    keys, drains, caps, bad, figures, why = [], [], [], 0, None, "no record"
     for name, value, expires in rows:
         kind, rest = name[:2], name[2:]
         try:
@@ -75,6 +92,13 @@
                 r = msgspec.msgpack.decode(value, type=CapRecord)
                 if r.until_unix_ms > now_unix_ms:
                     caps.append((rest.decode(), r.rps, r.until_unix_ms))
-        except (msgspec.DecodeError, ValueError):
+            elif kind == LEARNT:
+                why = "damaged"
+                form = msgspec.msgpack.decode(value)[0]
+                if form != LEARNT_FORM:
+                    why = f"of form {form}, not {LEARNT_FORM}"
+                    continue
+                figures = msgspec.msgpack.decode(value, type=LearntRecord)
+        except (msgspec.DecodeError, ValueError, TypeError, LookupError):
             bad += 1
-    return Restored(keys, drains, caps, bad)
+    return Restored(keys, drains, caps, bad, figures, why)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -171,16 +171,132 @@
     assert 20 <= i < 29 and play.sent("push_back")
 
 
-def test_clients_that_leave_early_bound_the_allowance():
-    """Clients give up sooner than they said: what would take longer is pushed back, not read for nobody."""
+def test_a_try_shorter_than_its_read_is_pushed_back():
+    """Its client says when it leaves: what would take longer is pushed back, not read for nobody."""
     play = Play()
-    for i in range(12):
-        play.at(10 + 300 * i, play.req(i))
-        play.at(200 + 300 * i, ("client_left", i), play.outcome(i, 0, play.sent()[-1][2], "cancelled", 190))
     for m in play.router.readers:
-        m.read_us, m.read_tokens, m.out_tokens = 1e8, 1e6, 3000
-    play.at(4000, play.req(50, prefix="c:b"))
-    assert play.sent("push_back")[-1][1] == "50" and 100 <= int(play.sent("push_back")[-1][2]) // MS <= 1000
+        m.read_us, m.read_tokens, m.out_tokens = 2e8, 1e6, 1000
+    play.at(10, play.req(1, expires_ms=5000))
+    play.at(20, play.req(2, expires_ms=400))
+    assert [line[1] for line in play.sent("push_back")] == ["2"] and not play.sent("push_back")[0][2].startswith("-")
+
+
+def test_impatient_tries_beyond_their_share_are_pushed_back():
+    """A tenant whose clients leave before the target and repeat at once gets its share and no more; others all."""
+    play = Play(tenants=[{"name": "a", "quota_rps": 2.0}, {"name": "b", "quota_rps": 2.0}])
+    for i in range(40):
+        play.at(10 + 50 * i, play.req(i, tenant=i % 4 > 0, expires_ms=400 if i % 4 else 5000, prefix=f"c:{i}"))
+        for line in [s for s in play.sent() if s[1] == str(i)]:
+            play.at(play.now + 20, play.outcome(i, 0, line[2], "read", 20))
+            play.at(play.now + 5, ("first", i, play.sent()[-1][2], 5 * MS, 1))
+    back = [int(line[1]) for line in play.sent("push_back")]
+    assert 15 <= len(back) <= 28 and all(i % 4 for i in back)
+
+
+def test_a_state_that_can_not_be_fetched_is_let_go():
+    """The holder may only be cut off and hold it still: what is forgotten is released, or it stays pinned."""
+    play = Play()
+    play.at(10, play.req(1))
+    play.at(110, play.outcome(1, 0, play.sent()[0][2], "read"))
+    play.at(120, play.outcome(1, 1, play.sent()[1][2], "full", 5, remark=1))
+    assert play.sent("release") and play.sent()[-1][0] == "forward"
+
+
+def test_a_text_always_has_a_home():
+    """Counts halved below one made chance negative, and with few readers a text had no home: IndexError."""
+    play = Play(servers=("r0", "w2"))
+    play.router.heat = {f"c:{i}": 0.6 for i in range(60)}
+    play.at(10, play.req(1, prefix="c:new"))
+    assert play.sent()
+
+
+def test_lost_answers_are_no_jam():
+    """A read that timed out tells of its reader, not of what a token costs at all others of the kind."""
+    play = Play()
+    for i in range(4):
+        play.at(100 + 900 * i, play.req(i, prefix=f"c:{i}"))
+        play.at(play.now + 100, play.outcome(i, 0, play.sent()[-1][2], "read", 100), ("client_left", i))
+    cost = list(play.router.kind_cost[0])
+    play.at(4000, play.req(9))
+    play.at(8990, play.outcome(9, 0, play.sent()[-1][2], "timed_out", 4990))
+    assert play.router.kind_cost[0] == cost
+    play.at(9000, play.req(10, prefix="c:z"))
+    assert play.sent()[-1][1] == "10" and play.sent()[-1][0] == "forward"
+
+
+def test_a_crowded_link_moves_shares_off_its_cell():
+    """A cell with readers and no writer: its link's strain and load take its readers' shares, in its own cell."""
+    play, left = Play(servers=(), family_info={"duty_by_kind": ["read", "write"], "kind_memory_tokens": [200000] * 2}), []
+    rows = [play.server(name, cell=int(name[1])) for name in ("r0", "r1", "r2", "w0", "w1")]
+    play.at(0, ("servers", "replace", rows))
+    for i in range(60):
+        play.at(10 + 400 * i, play.req(i, prefix=f"c:{i}", tokens=4000))
+        reader = play.sent()[-1][2]
+        play.at(play.now + 60, play.outcome(i, 0, reader, "read", 60))
+        writer = play.sent()[-1][2]
+        took = 20 if reader[1] == writer[1] else 1500 if reader == "r2" and i > 5 else 150
+        play.at(play.now + took, ("first", i, writer, took * MS, 1), ("timer", 0))
+        play.at(play.now + 100, play.outcome(i, 1, writer, "done", took + 100, True))
+        left.append(play.router.share["r2"])
+    assert left[-1] < 0.6 * left[0] and play.router.hop(play.router.machines["r2"], 1) > 2 * play.router.transfer[1]
+
+
+def test_full_writers_are_passed_over_by_what_they_tell():
+    play = Play(servers=("r0", "w1", "w2"), report={"how": "inline", "names": ["held"]})
+    def share(name):
+        return play.router.pairs[:, play.router.column[name]].sum()
+    for i in range(40):
+        play.at(10 + 300 * i, play.req(i, prefix=f"c:{i}"))
+        play.at(play.now + 50, play.outcome(i, 0, "r0", "read", 50))
+        writer = play.sent()[-1][2]
+        play.at(play.now + 20, ("first", i, writer, 20 * MS, 1), ("timer", 0))
+        play.at(play.now + 100, (*play.outcome(i, 1, writer, "done", 120, True)[:-1], {"held": 0.95 if writer == "w1" else 0.2}))
+    assert share("w1") < 0.6 * share("w2")
+
+
+def test_first_seconds_after_a_move():
+    """What was learnt is taken up by names; all boxes are new and cold, and are sent their thin part at once."""
+    old = Play(kinds=["rd", "wr", "mx"])
+    for i in range(30):
+        old.at(10 + 300 * i, old.req(i, prefix=f"c:{i}"))
+        reader = old.sent()[-1][2]
+        old.at(old.now + 100, old.outcome(i, 0, reader, "read"))
+        writer = old.sent()[-1][2]
+        old.at(old.now + 20, ("first", i, writer, 20 * MS, 1), ("timer", 0))
+        old.at(old.now + 80, old.outcome(i, 1, writer, "done", 100, True))
+    figures, sent = old.router.learnt(), {}
+    for name, age in (("fresh", None), ("kept", 5000), ("outdated", 700_000)):
+        new = Play(servers=(), kinds=["wr", "rd"], family_info={
+            "duty_by_kind": ["write", "read"], "kind_memory_tokens": [200000] * 2, "far_price": 0.04})
+        if age is not None:
+            new.out.lines.append("log " + new.router.take_up(figures, age * MS))
+        row = new.server("r7")._replace(kind=1, started_us=MS)
+        new.at(1, ("servers", "replace", [row, new.server("w8")._replace(kind=0, started_us=MS)]))
+        for i in range(40):
+            new.at(100 + 100 * i, new.req(i, prefix=f"c:{i}"))
+            for line in [s for s in new.sent() if s[1] == str(i)]:
+                new.at(new.now + 5, new.outcome(i, 0, line[2], "read", 5))
+                new.at(new.now + 5, *[("first", i, s[2], 5 * MS, 1) for s in new.sent() if s[1] == str(i)][-1:])
+        sent[name] = sum(s[2] == "r7" for s in new.sent())
+    assert old.router.take_up(figures, 0) == "taken up: 3 of 3 kinds, 1 of 1 groups, 2 boxes"
+    assert sent["fresh"] == sent["outdated"] == 0 and 2 <= sent["kept"] <= 20, sent
+
+
+def test_only_the_same_start_of_a_box_keeps_its_figures():
+    play = Play(kinds=["rd", "wr", "mx"], servers=())
+    play.router.take_up({"groups": [], "kinds": [], "boxes": [["r0", 5 * MS, 0.9, 1e6, 1e4], ["r1", 5 * MS, 0.9, 1e6, 1e4]]}, 0)
+    play.at(10, ("servers", "replace", [play.server("r0", 5 * MS), play.server("r1", 6 * MS), play.server("w2")]))
+    r0, r1 = play.router.machines["r0"], play.router.machines["r1"]
+    assert r0.suspect and r0.read_tokens == 1e4 and not r1.suspect and r1.read_tokens == 0
+
+
+@pytest.mark.parametrize("figures", [{}, {"groups": 3}, {"groups": [], "kinds": [["rd", "read", "x", 1, 1]], "boxes": []},
+                                     {"groups": [], "kinds": [["rd", "read", float("nan"), 1, 1]], "boxes": []}])
+def test_senseless_figures_are_not_taken_up(figures):
+    play = Play(kinds=["rd", "wr", "mx"])
+    with pytest.raises((ValueError, TypeError, LookupError)):
+        play.router.take_up(figures, 0)
+    assert play.router.kind_cost[0] == [0.0, 0.0]
 
 
 def test_many_gateways_share_one_cold_server():
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -20,6 +20,7 @@
     ('kind { name: "x" role: READ }', "1 kind[0].memory_tokens"), ('box { id: "h" kind: "rd" }', "1 box[0].id"),
     ('box {\n id: "h:2"\n kind: "zz" }', "3 box[0].kind"), ('rules { cold_from: 2 }', "1 rules.cold_from"),
     ('log { level: "loud" }', "1 log.level"), ('limits { max_forwards: 1 }', "1 limits.max_forwards"),
+    ('mapping { load_memory: "queue" }', "1 mapping.load_memory"), ('mapping { load_memory: "a b" }', "1 mapping.load_memory"),
     ('gateway { index: 3 }', None), ("group {", None), ('listen { port: "x" }', "1 "),
 ]
 
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -305,3 +305,28 @@
     finally:
         over.set()
         site.close()
+
+
+def test_figures_outlive_a_restart_and_a_bad_record_means_a_fresh_start(tmp_path, capfd):
+    """What the decisions learnt is put down and taken up again; damaged, outdated or senseless ones never stop a start."""
+    with with_store(tmp_path / "s") as place:
+        for text in ("one", "two", "three"):
+            assert status(call(place, key=text, text=text).until()) == 200
+        before = place.core.router.learnt()
+        assert before["groups"][1][1] > 0 and any(row[4] for row in before["boxes"]) and before["kinds"][0][2] > 0
+        place.gateway.put_learnt()
+        place.until(lambda: not place.gateway.store.busy and not place.gateway.store.waiting)
+        again(place, tmp_path)
+        router = place.core.router
+        reader = place.specs[0].id
+        assert router.kind_cost[0] == before["kinds"][0][2:4] and router.answer_us[1] == before["groups"][1][1]
+        assert router.machines[reader].read_tokens == next(r[4] for r in before["boxes"] if r[0] == reader)
+        assert status(call(place, key="four", text="four").until()) == 200
+        for value in (b"\xc1", records.msgspec.msgpack.encode([9, 0, {}]), records.learnt({"kinds": [["rd", 1]]}, 0),
+                      records.learnt({"groups": [], "kinds": [["rd", "read", -1.0, 1.0, 1.0]], "boxes": []},
+                                     place.core.memory.unix_ms())):
+            place.gateway.store.put([(records.LEARNT, value, 0)], lambda why: None)
+            place.until(lambda: not place.gateway.store.busy and not place.gateway.store.waiting)
+            again(place, tmp_path)
+            assert place.core.router.kind_cost[0] == [0.0, 0.0]
+            assert status(call(place, key=value.hex()[:9] + "x", text="five").until()) == 200
