Late writes of replayable groups are sent anew, as late reads are

A write that has waited a quarter of the target, three times its move and the usual wait, with half of the time left, is taken back; its reader still keeps the text. Only replayable groups.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -339,18 +339,20 @@
                 # One forward alone may just be slow.
                 silent = quiet > max(600 * MS, 5 * usual + most) * (1 + 2 / len(m.waiting) ** 2)
                 overtaken = sent < m.answered_us and self.now - sent >= max(400 * MS, 4 * usual)
-                _, stage, _, _, fresh, ahead = req.forwards[number]
-                # Far behind what it should take alone: behind others' work, or its answer was lost.
-                # Few at a time: where most are late, moving them only doubles the work.
-                late = stage == "read" and max(
-                    0.25 * (req.target - req.arrived), 3 * ahead * self.cost_of(m), 3 * self.read_mean
-                ) < self.now - sent < min(req.target, req.expires) - self.now
+                _, stage, _, _, _, ahead = req.forwards[number]
+                # Far behind what it should take alone: behind others' work, or its answer was lost. Could
+                # harm where taking back stops nothing; the usual time keeps a common jam from moving all.
+                again, holder = self.groups[req.group].effect == "replayable", req.holder
+                move = self.hop(holder, 1 + (holder.zone != m.zone)) if stage == "write" and holder else 0
+                alone = ahead * self.cost_of(m) + req.tokens * move
+                late = (stage == "read" or stage == "write" and again) and (
+                    max(0.25 * (req.target - req.arrived), 3 * alone, 3 * usual)
+                    < self.now - sent < min(req.target, req.expires) - self.now)
                 if silent and not m.suspect:
                     self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
                 if not (silent or overtaken or late):
                     continue
-                harmless = stage == "read" or (
-                    overtaken and self.groups[req.group].effect == "replayable")
+                harmless = stage == "read" or (overtaken or late) and again
                 if harmless and not req.closed and self.may_cancel and self.spare >= 1 and (
                         len(req.forwards) < self.most_forwards - 1):
                     self.out.retract(rid, number)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -28,6 +28,16 @@
         assert [r["stage"] for r in place.rows("arrive")] == ["direct"]
 
 
+@pytest.mark.parametrize("named", [False, True])
+def test_told_memory_reaches_the_decisions_where_the_settings_name_it(named):
+    """By default the module hears what it heard before; boxes that go on with what is taken back are said too."""
+    more = 'mapping { load_memory: "x0" } limits { keep_forwards: true }' if named else ""
+    with Place(more=more) as place:
+        assert status(send(place, chat(tokens=5)).until()) == 200
+        told = [m.id for m in place.core.router.machines.values() if m.held_at > 0]
+        assert bool(told) == named and place.core.router.may_cancel != named
+
+
 def test_whole_answers_and_usage():
     with Place() as place:
         got = send(place, chat(stream=False, tokens=5)).until()
