--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -22,6 +22,7 @@
 STEPS = EDGES.tolist()
 PRIOR = 2.0  # outcomes' worth of its kind's average in each server's histogram
 HELD_US, TOLD = 5000 * MS, 0.4  # half life of what a writer told of its memory; what a full one takes off
+FULL = 0.8  # told share of memory from which a writer's wait is a queue and no lost answer
 LEARNT_US = 600 * 1000 * MS  # figures of an earlier life older than this are not taken up
 COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
 FAILURES = ("error", "reset", "unreachable", "timed_out")
@@ -249,16 +250,20 @@
         begins = np.concatenate((np.zeros((len(self.writers), 1)), np.cumsum(wait, axis=1)), axis=1)
         value = np.full(self.open.shape, 0.0 if total else 1.0)
         alone = value[:, 0].copy()
-        hops = [[self.transfer[0], self.hop(r, 1), self.hop(r, 2)] for r in self.readers]
-        moves, rows = tokens * np.array(hops)[:, :, None], np.arange(len(self.readers))[:, None]
-        columns = np.arange(len(self.writers))
+        alike = {}  # rows of readers whose moves cost alike, for each nearness that they have
+        cells = {r.cell: [self.transfer[0], self.hop(r, 1), self.hop(r, 2)] for r in self.readers}
+        for i, r in enumerate(self.readers):
+            for way in set(self.nearness[i].tolist()) if not r.writes else ():
+                alike.setdefault((way, float("%.2g" % cells[r.cell][way])), []).append(i)
         for m, g in zip(self.mix, self.groups):
             if m[0] > 0:
                 left = g.target_us + g.target_per_1000_us * m[1] / m[0] / 1000 - MIDDLES
                 alone += m[0] / total * (read @ (left > 0))
-                bins = np.where(left > moves, np.searchsorted(EDGES, left - moves) + 1, 0)
-                ways = np.einsum("rk,wrik->rwi", read, begins[:, bins])
-                value += m[0] / total * ways[rows, columns, self.nearness]
+                for (way, hop), rows in alike.items():
+                    over = left - tokens * hop
+                    bins = np.where(over > 0, np.searchsorted(EDGES, over) + 1, 0)
+                    met = read[rows] @ begins[:, bins].T
+                    value[rows] += m[0] / total * met * (self.nearness[rows] == way)
         value = np.where(self.mixed, alone[:, None], value)
         value = value * np.minimum(1.0, 1.5 / pace)
         value *= np.outer([1 - r.bad for r in self.readers], [1 - w.bad for w in self.writers])
@@ -345,7 +350,7 @@
                 again, holder = self.groups[req.group].effect == "replayable", req.holder
                 move = self.hop(holder, 1 + (holder.zone != m.zone)) if stage == "write" and holder else 0
                 alone = ahead * self.cost_of(m) + req.tokens * move
-                late = (stage == "read" or stage == "write" and again) and (
+                late = (stage == "read" or stage == "write" and again and m.held < FULL) and (
                     max(0.25 * (req.target - req.arrived), 3 * alone, 3 * usual)
                     < self.now - sent < min(req.target, req.expires) - self.now)
                 if silent and not m.suspect:
