Less CPU in jams: rows alike by one digit of a move's cost, late forwards looked at by age first

Lines: the products of refresh by two digits of the strained cost, and look_for_silence, which worked out every waiting forward's own time.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -254,7 +254,7 @@
         cells = {r.cell: [self.transfer[0], self.hop(r, 1), self.hop(r, 2)] for r in self.readers}
         for i, r in enumerate(self.readers):
             for way in set(self.nearness[i].tolist()) if not r.writes else ():
-                alike.setdefault((way, float("%.2g" % cells[r.cell][way])), []).append(i)
+                alike.setdefault((way, float("%.1g" % cells[r.cell][way])), []).append(i)
         for m, g in zip(self.mix, self.groups):
             if m[0] > 0:
                 left = g.target_us + g.target_per_1000_us * m[1] / m[0] / 1000 - MIDDLES
@@ -348,11 +348,13 @@
                 # Far behind what it should take alone: behind others' work, or its answer was lost. Could
                 # harm where taking back stops nothing; the usual time keeps a common jam from moving all.
                 again, holder = self.groups[req.group].effect == "replayable", req.holder
-                move = self.hop(holder, 1 + (holder.zone != m.zone)) if stage == "write" and holder else 0
-                alone = ahead * self.cost_of(m) + req.tokens * move
+                waited = self.now - sent
                 late = (stage == "read" or stage == "write" and again and m.held < FULL) and (
-                    max(0.25 * (req.target - req.arrived), 3 * alone, 3 * usual)
-                    < self.now - sent < min(req.target, req.expires) - self.now)
+                    max(0.25 * (req.target - req.arrived), 3 * usual) < waited
+                    < min(req.target, req.expires) - self.now)
+                if late:
+                    move = self.hop(holder, 1 + (holder.zone != m.zone)) if stage == "write" and holder else 0
+                    late = waited > 3 * (ahead * self.cost_of(m) + req.tokens * move)
                 if silent and not m.suspect:
                     self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
                 if not (silent or overtaken or late):
