One piece of code for starts of boxes, moves' costs and the clock; static work out of refresh

Read over the change of the move. started_us stood three times as a lambda or inline, the store's clock twice, hop had its own case for moves inside a cell at each caller; learn_read's weight was only ever a flag; what a list settles (cells, nearnesses of a reader) was worked out at every refresh; a carried box without a record was matched by a made-up start of -1. The interface page names what of a report is read and how a host keeps what was learnt.

--- a/lapiswing/gateway/serve.py
+++ b/lapiswing/gateway/serve.py
@@ -72,6 +72,10 @@
     def unix_to_us(self, ms):
         return ms * MS + self.unix_offset_us
 
+    def started_us(self, unix_ms):
+        """A box's start in the loop's time; 0 stays long ago, and nothing that was told becomes it."""
+        return max(1, self.unix_to_us(unix_ms)) if unix_ms else 0
+
     def start(self):
         l = self.settings.listen
         sock = listen_socket(l.host, l.port)
@@ -105,7 +109,7 @@
                             lambda event, **fields: self.log.debug(event, **fields))
         self.discovery = Discovery(
             self.loop, resolver, browsers,
-            lambda found: row_of_found(found, self.settings, self.zones, self.cells, lambda ms: max(1, self.unix_to_us(ms))),
+            lambda found: row_of_found(found, self.settings, self.zones, self.cells, self.started_us),
             core.records, core.look_at_members, self.log)
 
     discovery = None
@@ -135,17 +139,16 @@
         record, router = found.learnt, self.core.router
         if record is None or not hasattr(router, "take_up"):
             return self.log.info("learnt figures", start="fresh", why=found.learnt_why)
-        now_ms = (self.loop.clock.now_us() - self.unix_offset_us) // MS
         try:
             figures = {**record.figures, "boxes": [
-                [box, max(1, self.unix_to_us(started)) if started else 0, *rest] for box, started, *rest in record.figures["boxes"]]}
-            said = router.take_up(figures, (now_ms - record.saved_unix_ms) * MS)
+                [box, self.started_us(started), *rest] for box, started, *rest in record.figures["boxes"]]}
+            said = router.take_up(figures, (self.core.memory.unix_ms() - record.saved_unix_ms) * MS)
         except (ValueError, TypeError, LookupError) as problem:
             return self.log.warning("learnt figures", start="fresh", why=f"can't be used: {problem}")
         self.log.info("learnt figures", said=said)
 
     def put_learnt(self):
-        if not hasattr(self.core.router, "learnt"):
+        if self.store is None or not hasattr(self.core.router, "learnt"):
             return
         figures = self.core.router.learnt()
         # Start times as Unix milliseconds: the loop's own time means nothing to the next life.
@@ -167,7 +170,7 @@
             self.tasks.add("expiry", self.store.expire(), priority=8, share=0.05)
 
     def rows(self, boxes):
-        return boxes_of(boxes, self.settings, self.zones, self.cells, lambda ms: max(1, self.unix_to_us(ms)))
+        return boxes_of(boxes, self.settings, self.zones, self.cells, self.started_us)
 
     def poll(self):
         self.loop.call_later(self.settings.boxes_poll_ms * MS, self.poll)
@@ -209,8 +212,7 @@
         self.drain()
 
     def drain(self):
-        if self.store is not None:
-            self.put_learnt()
+        self.put_learnt()
         self.core.changed("gateway", text="draining")
         self.log.info("draining", open=self.core.open, limit_ms=self.settings.gateway.drain_limit_ms)
         self.server.drain()
--- a/lapiswing/interface.py
+++ b/lapiswing/interface.py
@@ -11,6 +11,9 @@
     ("place", id, server, forward_no, held)            the answer to hold_place
     ("client_left", id)  ("timer", token)  ("probed", server, code, latency_us, report)  ("peer", sender, payload)
 
+A report is a dict of figures; `queue` (reqs waiting) and `held` (share of memory held) are read.
+A host may keep `router.learnt()` and give it with its age to the next life's `take_up`, before the first list.
+
 Outcome codes: done, read, error, full, timed_out, unreachable, reset, cancelled, moot.
 Times are whole microseconds; ids are passed through unchanged.
 """
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -80,7 +80,8 @@
         self.reads, self.waits = np.zeros((2, 0, len(MIDDLES)))  # bins of reads; of waits for a writer
         # Served since the last refresh and a second on average; stream time, what it should be; open streams.
         self.taken, self.took, self.stream_us, self.owed_us, self.begun = np.zeros((5, 0))
-        self.transfer, self.near = [0.0] * 3, [0.0] * 5  # a token's cost: same cell, same zone, other
+        self.transfer = [0.0] * 3  # a token's cost: same cell, same zone, other
+        self.near = [0.0] * 5  # sums for the slope inside a cell
         self.links = {}  # by reader's cell: time of moves that left it, what they take on a free link
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
         self.kind_took = [[0.0, 1.0] for _ in self.kinds]  # served by warm servers of a kind, their seconds
@@ -148,12 +149,11 @@
             return
         for row in rows:
             if row.id not in self.machines:
-                machine = self.machines[row.id] = Machine(row, self.kinds, len(self.machines))
-                started, bad, us, tokens = self.carried.pop(row.id, (-1, 0, 0, 0))
-                if abs(started - row.started_us) < MS:  # the same start of it: a clock that was set hides it
-                    machine.bad, machine.read_us, machine.read_tokens = bad, us, tokens
-                    machine.suspect = bad > 0.5
-            machine = self.machines[row.id]
+                self.machines[row.id] = Machine(row, self.kinds, len(self.machines))
+            machine, carried = self.machines[row.id], self.carried.pop(row.id, None)
+            if carried and abs(carried[0] - row.started_us) < MS:  # the same start of it
+                _, machine.bad, machine.read_us, machine.read_tokens = carried
+                machine.suspect = machine.bad > 0.5
             if row.started_us != machine.started_us:  # it has kept nothing, and its old troubles are over
                 machine.kept, machine.bad, machine.suspect = {}, 0.0, False
                 self.reads[machine.at] = self.waits[machine.at] = 0.0
@@ -180,6 +180,9 @@
         own = self.r_at[:, None] == self.w_at
         self.mixed, self.open = mixed[:, None] > 0, own | (mixed[:, None] == 0)
         self.nearness = np.where(r_cell[:, None] == w_cell, 0, 1 + (r_zone[:, None] != w_zone))
+        self.cells = np.unique(r_cell, return_inverse=True)[1]
+        self.ways = [(i, r, way) for i, r in enumerate(self.readers) if not r.writes
+                     for way in set(self.nearness[i].tolist())]  # nearnesses that a reader's moves may have
         self.price = self.far_price * (self.nearness > 0) + self.cross_price * (
             (r_zone != self.zone)[:, None] + ((w_zone != self.zone) & ~own))
         pairs = self.joint[np.ix_(self.r_at, self.w_at)]
@@ -246,15 +249,13 @@
         self.read_mean, self.wait_mean = (np.sort(e)[(len(e) - 1) // 2] for e in (reads_end, waits_end))
         total = sum(m[0] for m in self.mix)
         tokens = sum(m[1] for m in self.mix) / (total or 1.0)
-        # How many wait bins each read bin leaves the writer, a table for each nearness.
+        # How many wait bins each read bin leaves the writer, a table for all readers whose moves cost alike.
         begins = np.concatenate((np.zeros((len(self.writers), 1)), np.cumsum(wait, axis=1)), axis=1)
         value = np.full(self.open.shape, 0.0 if total else 1.0)
         alone = value[:, 0].copy()
-        alike = {}  # rows of readers whose moves cost alike, for each nearness that they have
-        cells = {r.cell: [self.transfer[0], self.hop(r, 1), self.hop(r, 2)] for r in self.readers}
-        for i, r in enumerate(self.readers):
-            for way in set(self.nearness[i].tolist()) if not r.writes else ():
-                alike.setdefault((way, float("%.1g" % cells[r.cell][way])), []).append(i)
+        alike = {}
+        for i, reader, way in self.ways:
+            alike.setdefault((way, float("%.1g" % self.hop(reader, way))), []).append(i)
         for m, g in zip(self.mix, self.groups):
             if m[0] > 0:
                 left = g.target_us + g.target_per_1000_us * m[1] / m[0] / 1000 - MIDDLES
@@ -270,8 +271,10 @@
         self.move_shares(value - self.price)
 
     def hop(self, reader, way):
-        """Time a token that a move out of its cell takes: what the way takes when free, times the strain
+        """Time a token that a move takes: what the way takes when free and, out of the cell, times the strain
         that this router's own moves found on the one link of the reader's cell, leaning on a free one."""
+        if way == 0:
+            return self.transfer[0]
         took, free = self.links.get(reader.cell, (0.0, 0.0))
         lean = 2000 * self.transfer[way] + 1
         return self.transfer[way] * (took + lean) / (free + lean)
@@ -312,11 +315,10 @@
         # All routers use the one link of a cell: their part of its time, from own prompts and shares.
         flow = sum(m[1] for m in self.mix) * self.gateways / self.read_span
         hops = flow * np.array(self.transfer)[self.nearness] * (self.nearness > 0) * ~self.mixed
-        cells = np.unique([r.cell for r in self.readers], return_inverse=True)[1]
         for _ in range(MOVES):
             used = (own + (2 - known) * streams * self.pairs.sum(axis=0)) / memory
             load = 0.15 * (work * self.pairs.sum(axis=1)) ** 2
-            link = np.bincount(cells, (hops * self.pairs).sum(axis=1))[cells]
+            link = np.bincount(self.cells, (hops * self.pairs).sum(axis=1))[self.cells]
             link = np.clip(link - 0.4, 0.0, 2.0) ** 2  # little used it delays nobody
             score = np.round(fixed - load[:, None] - 0.4 * used * used - 0.6 * link[:, None] * (hops > 0), 6)
             order = np.argsort(np.where(self.open > 0, score, -9e9), axis=None, kind="stable")
@@ -343,12 +345,12 @@
                 usual = self.wait_mean if writing else self.read_mean
                 # One forward alone may just be slow.
                 silent = quiet > max(600 * MS, 5 * usual + most) * (1 + 2 / len(m.waiting) ** 2)
-                overtaken = sent < m.answered_us and self.now - sent >= max(400 * MS, 4 * usual)
+                waited = self.now - sent
+                overtaken = sent < m.answered_us and waited >= max(400 * MS, 4 * usual)
                 _, stage, _, _, _, ahead = req.forwards[number]
                 # Far behind what it should take alone: behind others' work, or its answer was lost. Could
                 # harm where taking back stops nothing; the usual time keeps a common jam from moving all.
                 again, holder = self.groups[req.group].effect == "replayable", req.holder
-                waited = self.now - sent
                 late = (stage == "read" or stage == "write" and again and m.held < FULL) and (
                     max(0.25 * (req.target - req.arrived), 3 * usual) < waited
                     < min(req.target, req.expires) - self.now)
@@ -588,7 +590,7 @@
             elif req.tokens > 500:  # free: about the least seen; a crowded link takes much more
                 least = self.transfer[way] * 1.02 or latency / req.tokens
                 self.transfer[way] = min(least, latency / req.tokens)
-            wait = latency - req.tokens * (self.hop(holder, way) if way else self.transfer[0])
+            wait = latency - req.tokens * self.hop(holder, way)
             self.waits[machine.at, bisect_left(STEPS, wait)] += 1
             if way:
                 took, free = self.links.get(holder.cell, (0.0, 0.0))
@@ -599,12 +601,12 @@
             req.forwards[number][4] = 0
         req.holder = None
 
-    def learn_read(self, machine, latency, ahead, weight=0.25):
+    def learn_read(self, machine, latency, ahead, of_kind=True):
         self.reads[machine.at, bisect_left(STEPS, latency)] += 1
         machine.read_us = machine.read_us * 0.85 + latency
         machine.read_tokens = machine.read_tokens * 0.85 + max(200, ahead)
-        sums = self.kind_cost[machine.kind]
-        if weight:
+        if of_kind:
+            sums = self.kind_cost[machine.kind]
             sums[:] = sums[0] * 0.75 + latency, sums[1] * 0.75 + max(200, ahead)
 
     def on_outcome(self, rid, number, server, code, latency, ended, remark, report):
@@ -650,7 +652,7 @@
             if code == "timed_out" and stage == "write":
                 self.waits[machine.at, bisect_left(STEPS, latency)] += 1
             elif code == "timed_out":  # tells of this server, not of what its whole kind costs a token
-                self.learn_read(machine, latency, ahead, 0.0)
+                self.learn_read(machine, latency, ahead, of_kind=False)
         elif code in ("done", "read"):
             self.good(machine)
         if req.begun == number:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -260,9 +260,11 @@
 
 
 def test_full_writers_are_passed_over_by_what_they_tell():
-    play = Play(servers=("r0", "w1", "w2"), report={"how": "inline", "names": ["held"]})
+    play = Play(servers=("r0", "w1", "w2"))
+
     def share(name):
         return play.router.pairs[:, play.router.column[name]].sum()
+
     for i in range(40):
         play.at(10 + 300 * i, play.req(i, prefix=f"c:{i}"))
         play.at(play.now + 50, play.outcome(i, 0, "r0", "read", 50))
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -307,7 +307,7 @@
         site.close()
 
 
-def test_figures_outlive_a_restart_and_a_bad_record_means_a_fresh_start(tmp_path, capfd):
+def test_figures_outlive_a_restart_and_a_bad_record_means_a_fresh_start(tmp_path):
     """What the decisions learnt is put down and taken up again; damaged, outdated or senseless ones never stop a start."""
     with with_store(tmp_path / "s") as place:
         for text in ("one", "two", "three"):
