--- a/tests/test_transfer_program.py
+++ b/tests/test_transfer_program.py
@@ -156,7 +156,10 @@
     finally:
         link.close()
     a.stop(signal.SIGKILL)
-    a.start()  # its state has a manifest, and is served again
+    a.start()  # its state has a manifest, and is served again once its bytes were held against it
+    for _ in range(2000):
+        if a.ask("GET", "/v1/status")[1]["states"]:
+            break
     assert [s["name"] for s in a.ask("GET", "/v1/status")[1]["states"]] == ["s"]
 
 
