--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -309,7 +309,7 @@
             self.memory.when_noted(spec.entry, lambda why: self.noted(req, rid, number, out, send, why))
 
     def noted(self, req, rid, number, out, send, why):
-        if out.forward.over:
+        if out.forward is None or out.forward.over:
             return
         if why is None:
             send()
@@ -503,6 +503,7 @@
             self.finish(req, "done", forward.answer)
         elif begun:
             self.broken(req, code)
+        out.forward = None  # a forward knows its owner: no cycle is left behind
 
     def broken(self, req, code):
         """A begun stream broke; its req is over for the module. The rest goes on as a new one, or it is aborted."""
--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -168,7 +168,7 @@
         self.done = True
 
     def finish(self):
-        exchange, self.exchange = self.exchange, None
+        exchange, self.exchange, self.parser = self.exchange, None, None
         exchange.over = True
         self.pool.free(self)
         exchange.handler.on_end()
@@ -186,7 +186,7 @@
 
     def on_closed(self, why):
         self.pool.gone(self)
-        exchange, self.exchange = self.exchange, None
+        exchange, self.exchange, self.parser = self.exchange, None, None
         if exchange is None or exchange.over:
             return
         if exchange.got_head:
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -81,13 +81,13 @@
             return
         if self.chunked:
             self.write(b"0\r\n\r\n")
-        self.over = True
+        self.over, self.on_left, self.on_drained = True, None, None
         self.conn.answered(self)
 
     def abort(self):
         """Ends it so that the client sees that it is not whole."""
         if not self.over:
-            self.over = True
+            self.over, self.on_left, self.on_drained = True, None, None
             self.conn.stream.abort()
 
     def write(self, data):
@@ -291,10 +291,12 @@
     def on_closed(self, why):
         self.server.closed_connection(self)
         exchange, self.current = self.current, None
+        self.exchange = self.parser = None
         if exchange is not None and not exchange.over:
-            exchange.over = True
-            if exchange.on_left:
-                exchange.on_left()
+            exchange.over, left = True, exchange.on_left
+            exchange.on_left = exchange.on_drained = None
+            if left:
+                left()
 
     def on_drained(self):
         if self.current is not None and self.current.on_drained:
--- a/lapiswing/loop/core.py
+++ b/lapiswing/loop/core.py
@@ -18,7 +18,7 @@
         self.due_us, self.call, self.args = due_us, call, args
 
     def cancel(self):
-        self.call = None
+        self.call = self.args = None  # what it would have told is not kept until it would have been due
 
 
 class Loop:
@@ -96,8 +96,8 @@
         while self.timers and self.timers[0][0] <= self.now:
             timer = heapq.heappop(self.timers)[2]
             if timer.call is not None:
-                call, timer.call = timer.call, None
-                self.guard(None, call, *timer.args)
+                (call, args), timer.call, timer.args = (timer.call, timer.args), None, None
+                self.guard(None, call, *args)
         ready, self.ready = self.ready, []
         for call, args in ready:
             self.guard(None, call, *args)
--- a/lapiswing/loop/stream.py
+++ b/lapiswing/loop/stream.py
@@ -209,4 +209,5 @@
         self.sock.close()
         self.out.clear()
         self.waiting = 0
-        self.loop.guard(None, self.owner.on_closed, why)
+        owner, self.owner = self.owner, None  # no cycle is left behind
+        self.loop.guard(None, owner.on_closed, why)
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -42,6 +42,7 @@
             self.over = True
             self.drop_timer()
             self.exchange.cancel()
+            self.owner = self.exchange = None
 
     def drop_timer(self):
         if self.timer is not None:
@@ -98,7 +99,7 @@
     def watch(self):
         """Guards against a chunk whose size was a lie: nothing more comes, and the connection stays open. Could harm
         where a network stops for this long in the middle of a chunk."""
-        if self.exchange.in_chunk != (self.timer is not None):
+        if not self.over and self.exchange.in_chunk != (self.timer is not None):
             self.drop_timer()
             if self.exchange.in_chunk:
                 self.timer = self.servers.loop.call_later(STALL_US, self.stalled, self.size)
@@ -170,7 +171,8 @@
         if not self.over:
             self.over = True
             self.drop_timer()
-            self.owner.on_outcome(self, code, self.remark, self.report)
+            owner, self.owner, self.exchange = self.owner, None, None  # no cycle is left behind
+            owner.on_outcome(self, code, self.remark, self.report)
 
 
 class Small:
@@ -201,7 +203,7 @@
 
     def tell(self, code):
         self.timer.cancel()
-        done, self.done = self.done, None
+        done, self.done, self.exchange = self.done, None, None
         if done:
             done(code, self.status, self.report, b"".join(self.parts))
 
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -169,8 +169,22 @@
         self.reads, self.waits = (np.pad(t, ((0, more), (0, 0))) for t in (self.reads, self.waits))
         self.taken, self.took, self.stream_us, self.owed_us, self.begun = (
             np.pad(t, (0, more)) for t in (self.taken, self.took, self.stream_us, self.owed_us, self.begun))
+        self.forget_gone()
         self.level_pairs()
 
+    def forget_gone(self):  # what has left and has no open req; else every new id would stay for good
+        busy = {forward[0].id for req in self.reqs.values() for forward in req.forwards}
+        gone = [m.id for m in self.machines.values() if m.mode == "gone" and m.id not in busy]
+        for name in gone:
+            del self.machines[name]
+        if gone:
+            at = [m.at for m in self.machines.values()]
+            self.joint, self.reads, self.waits = self.joint[np.ix_(at, at)], self.reads[at], self.waits[at]
+            self.taken, self.took, self.stream_us, self.owed_us, self.begun = (
+                t[at] for t in (self.taken, self.took, self.stream_us, self.owed_us, self.begun))
+            for at, machine in enumerate(self.machines.values()):
+                machine.at = at
+
     def level_pairs(self):  # new pairs at the mean share; a mixed server writes itself what it reads
         ready = [m for m in self.machines.values() if m.mode == "ready"]
         sides = self.readers, self.writers = [m for m in ready if m.reads], [m for m in ready if m.writes]
--- /dev/null
+++ b/tests/platform_door.py
@@ -0,0 +1,154 @@
+"""Helper of the tests of the platform's door: a gateway and the platform's stand-ins on one loop, and raw clients."""
+import json
+import socket
+
+from lapiswing.loop import Clock, Loop, free_ports
+from lapiswing.node.serve import Node
+from lapiswing.observe import start_logs
+from lapiswing.standin.platform import Platform
+
+BODY = json.dumps({"model": "chat", "stream": True, "messages": [{"role": "user", "content": "x" * 400}]}).encode()
+SETTINGS = {
+    "Az": 0, "Balancers": 1, "Callers": {"MarksRetry": True},
+    "Classes": [{"DeadlineMs": 4000.0, "Effect": "retryable", "Group": "all", "LateWorth": 0.3, "MemorySpanMs": 5000.0,
+                 "Name": "chat", "OnTimeMs": 1200.0, "Stream": True, "Value": 1.0}],
+    "Family": "twostage",
+    "FamilyInfo": {"AimUsPer1000PromptTokens": [40000.0], "DutyByKind": ["read", "write", "both"], "FarPrice": 0.04,
+                   "KindMemoryTokens": [264519, 156363, 200139], "LetGoByMs": 500.0, "MayReserve": True,
+                   "ReadInPlace": False, "Resume": False, "TokenAimMs": [60.0]},
+    "Kinds": ["read", "write", "both"],
+    "Limits": {"Cancel": True, "ConnIdleMs": 15000.0, "ConnectTimeoutMs": 250.0, "CpuUsPerS": 500000, "MaxAttempts": 6,
+               "MaxRetryAfterMs": 1000.0, "RetryAfter": True, "SecondCopies": True, "Probes": True},
+    "Me": 0, "MembershipMode": "automatic", "Penalties": {"CrossZone": 0.02},
+    "Report": {"How": "inline", "Names": ["inflight", "queue", "x0", "x1"]}, "ResolutionMs": 4.0,
+    "Rules": {"AnswerSlackMs": 16.0, "ColdFrom": 0.25, "FallMultiple": 2.5, "OverloadForMs": 1000.0,
+              "RampTimeMs": 12000.0, "StopSendingWithinMs": 1000.0},
+    "Tenants": [], "Zones": ["a", "b"]}
+
+
+class Quiet:
+    """Collects log lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def info(self, event, **fields):
+        self.lines.append((event, fields))
+
+    warning = error = info
+
+
+class Door:
+    """`with Door(folder, roles) as door`."""
+
+    def __init__(self, folder, roles=("read", "write", "write"), sockets=256, loop=None, known=True, log=None):
+        self.loop = loop or Loop(Clock())
+        self.platform = Platform(self.loop, roles)
+        self.path = folder / "config.json"
+        self.port, = free_ports(1)
+        self.config = {
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": self.platform.discovery.address, "seed": "0a5b",
+            "limits": {"cores": 0.5, "memory_mb": 64, "sockets": sockets},
+            "known": self.platform.discovery.whole() if known else None, "settings": SETTINGS}
+        self.path.write_text(json.dumps(self.config))
+        self.log = log or Quiet()
+        self.node = Node(str(self.path), self.log, self.loop)
+        self.node.start()
+        self.core = self.node.core
+        assert self.loop.run_until(lambda: self.node.rows.rows)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.node.close()
+        self.platform.close()
+        self.loop.close()
+
+    def until(self, done, most_us=8_000_000):
+        assert self.loop.run_until(done, most_us), "it did not come about"
+
+    def client(self, data=b""):
+        return Client(self, data)
+
+    def ask(self, rid, body=BODY, **fields):
+        """A client's request, sent on a connection of its own."""
+        return self.client(head(rid, body, **fields) + body)
+
+    def settled(self):
+        """Nothing is open or held any more."""
+        self.until(lambda: not self.core.reqs and not self.node.servers.releasing)
+        assert not any(s.states for s in self.platform.servers.values())
+
+
+def head(rid, body=BODY, path="/v1/chat/completions", method="POST", **fields):
+    named = {"Req-Id": rid, "Req-Kind": "chat", "Req-Key": "k1", "Req-Deadline": "3.000",
+             "Req-Extra": "prefix=p1,prompt_len=100,prefix_len=40,max_out=50", "Content-Length": str(len(body))}
+    named |= {k.replace("_", "-"): v for k, v in fields.items()}
+    lines = "".join(f"{k}: {v}\r\n" for k, v in named.items() if v is not None)
+    return f"{method} {path} HTTP/1.1\r\nHost: app.svc\r\n{lines}\r\n".encode()
+
+
+class Client:
+    """A connection to the gateway, read on the test's own loop."""
+
+    def __init__(self, door, data=b""):
+        self.door, self.got, self.closed = door, b"", False
+        self.sock = socket.create_connection(("127.0.0.1", door.port))
+        self.sock.setblocking(False)
+        if data:
+            self.send(data)
+
+    def send(self, data):
+        self.sock.setblocking(True)
+        self.sock.sendall(data)
+        self.sock.setblocking(False)
+
+    def look(self):
+        try:
+            while not self.closed:
+                data = self.sock.recv(65536)
+                self.got += data
+                self.closed = not data
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.closed = True
+        return self.got
+
+    @property
+    def status(self):
+        self.look()
+        return int(self.got[9:12]) if len(self.got) > 12 else None
+
+    def ended(self):
+        """A whole answer is in, or the connection has ended."""
+        got = self.look()
+        first, _, body = got.partition(b"\r\n\r\n")
+        if self.closed:
+            return True
+        if b"chunked" in first:
+            return body.endswith(b"0\r\n\r\n")
+        length = first.lower().partition(b"content-length: ")[2].split(b"\r\n")[0]
+        return bool(length) and len(body) >= int(length)
+
+    def whole(self):
+        self.door.until(self.ended)
+        return self
+
+    @property
+    def body(self):
+        """The chunked body put together."""
+        rest, out = self.look().partition(b"\r\n\r\n")[2], b""
+        while rest:
+            size, _, rest = rest.partition(b"\r\n")
+            out, rest = out + rest[:int(size, 16)], rest[int(size, 16) + 2:]
+        return out
+
+    @property
+    def cut(self):
+        """Whether the answer ended without its last chunk."""
+        return not self.look().endswith(b"0\r\n\r\n")
+
+    def close(self):
+        self.sock.close()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -358,3 +358,25 @@
         play.at(play.now + 10, play.req(play.now))
         play.at(play.now + 50, play.outcome(play.now - 10, 0, "r0", "reset"))
         assert play.out.lines[-1].startswith(ends), play.out.lines
+
+
+def test_what_has_left_is_forgotten_once_its_reqs_have_ended():
+    """Seen: the module's tables grew with every new server id on a day where servers are replaced."""
+    play = Play()
+    names = ("r0", "r1", "w2", "w3")
+    play.at(10, play.req(1))
+    reader = play.sent()[0][2]
+    play.at(110, play.outcome(1, 0, reader, "read"))
+    writer = play.sent()[1][2]
+    play.at(160, ("first", 1, writer, 50 * MS, 1))
+    for i in range(40):
+        names = names[2:] + (f"r{i}a", f"w{i}a")
+        play.at(200 + 100 * i, ("servers", "replace", [play.server(n) for n in names]))
+    router = play.router
+    assert set(router.machines) == {*names, reader, writer}  # its stream still runs there
+    play.at(5000, play.outcome(1, 1, writer, "done", 4900, True))
+    play.at(5100, ("servers", "replace", [play.server(n) for n in names]))
+    assert list(router.machines) == list(names) and [m.at for m in router.machines.values()] == [0, 1, 2, 3]
+    assert router.joint.shape == (4, 4) and len(router.reads) == len(router.waits) == len(router.begun) == 4
+    play.at(5200, play.req(2))
+    assert play.sent()[-1][2] in names
