A release waits until nothing of its req is out: spoilt writes are no longer pushed back

Checked: the second read had ended when its writer found no state (410). Ruled out: the module (it reads anew as it should), the servers (the first read's release had been sent 20 ms after the first 410 and names all states of the req). Lines at fault: Core.release and Core.outcome sent a release while the req went on; its name is the req's on this platform. Change: where states have the req's name a release is sent once the req is over and nothing of it is out.

--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -335,6 +335,11 @@
 
     def release(self, rid):
         req = self.reqs.get(rid)
+        if req is not None and self.engine.by_req and not req.over:
+            # It would reach its next read's state too, which has the same name; `turn` sends it once nothing is out.
+            if req.state is not None:
+                req.left, req.state = req.state[0], None
+            return
         if req is not None and (req.state is not None or req.left is not None and not req.outs):
             server, name = (req.state[0], req.state[2]) if req.state else (
                 req.left, self.engine.name(self.name, rid))
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -330,18 +330,37 @@
         now = self.loop.now
         for conn in list(self.connections):
             self.loop.guard(conn.stream, conn.overdue, now)
+        if limits.first_us is not None:
+            self.thin()
 
     def make_room(self):
-        """Connections run short: closes one that has said nothing yet, the oldest first, else the longest idle one.
-        Guards usual clients against hundreds that connect and say nothing; could harm a client that is slow to say
-        its first word, so each has `first_us` / 8."""
-        now, limits = self.loop.now, self.limits
-        silent = [c for c in self.connections if not c.served and c.phase == "idle" and not c.stream.closing
-                  and now - c.born_us > (limits.first_us or limits.spare_us) // 8]
-        idle = silent or [c for c in self.connections if c.phase == "idle" and not c.stream.closing
-                          and c.served and now - c.since_us > limits.spare_us]
-        if idle:
-            min(idle, key=lambda c: c.since_us).stream.abort()
+        """Connections run short: closes one that has said nothing yet, else the longest idle one, else one whose
+        request has been half here for long. Guards usual clients against hundreds that connect and say nothing; could
+        harm a client that is slow to say its first word, so each has a moment for it, and what came in is looked for."""
+        now, spare_us = self.loop.now, self.limits.spare_us
+        best = (4, 0, None)  # rank, since when, which
+        for c in self.connections:
+            if c.stream.closing or c.phase == "answer":
+                continue
+            age = now - c.since_us
+            if c.phase != "idle":
+                rank = 3 if age > spare_us // 4 else None  # half a request, for long
+            elif c.served:
+                rank = 1 if age > spare_us else 2
+            else:
+                rank = 0 if age > spare_us // 32 else None
+            if rank is not None and (rank, c.since_us) < best[:2] and not c.stream.pending():
+                best = rank, c.since_us, c
+        if best[2] is not None:
+            best[2].stream.abort()
+
+    def thin(self):
+        """Closes what has been idle for `spare_us` while more than half the connections that may be are open."""
+        if self.listener is None or self.listener.open * 2 < self.limits.connections:
+            return
+        for c in [c for c in self.connections if c.phase == "idle" and c.served and not c.stream.closing]:
+            if self.loop.now - c.since_us > self.limits.spare_us and not c.stream.pending():
+                c.stream.close()
 
     def drain(self):
         """No further requests: idle connections close now, the others after their answer."""
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -87,7 +87,9 @@
         self.loop = loop or Loop(clock, on_error=lambda problem: self.log.error(
             "fault", why=f"{type(problem).__name__}: {problem}", exc_info=problem))
         limits, sockets = settings["limits"], self.config.limits.sockets
-        self.clients, to_servers = sockets // 2, sockets - sockets // 2 - OWN
+        # As many to servers as usual clients may have reqs open, and some for releases and what waits idle.
+        to_servers = sockets * 3 // 8
+        self.clients = sockets - to_servers - OWN
         idle_us = limits.get("conn_idle_us") or 10_000 * MS
         self.pool = Pool(self.loop, to_servers, max(4, to_servers // 16), idle_us * 6 // 10,
                          limits.get("connect_timeout_us") or 250 * MS, settle_us=20 * MS, most_all=to_servers)
--- a/lapiswing/standin/platform.py
+++ b/lapiswing/standin/platform.py
@@ -22,6 +22,7 @@
         self.platform, self.name, self.role, self.zone, self.group = platform, name, role, zone, group
         self.status, self.since_ms, self.fault, self.load = "SERVING", 0, None, None
         self.events, self.pause_us, self.read_us = 3, 2 * MS, 2 * MS
+        self.reading = set()  # ids whose read is under way; a release reaches these too
         self.seen, self.states, self.left = [], set(), 0  # (method, path, id, body); ids held; requests given up
         self.server = serve(platform.loop, self.app)
         self.address = "127.0.0.1:%d" % self.server.listener.address[1]
@@ -49,6 +50,7 @@
             return exchange.respond(404)
         exchange.on_left = self.gone
         if self.role == "read":
+            self.reading.add(rid)
             return self.platform.loop.call_later(self.read_us, self.have_read, exchange, rid)
         if self.role == "write":
             holder = self.platform.holder(rid)
@@ -64,13 +66,16 @@
         if exchange.method == b"DELETE":
             for server in self.platform.servers.values():
                 server.states.discard(rid)
+                server.reading.discard(rid)
             return exchange.respond(204)
         self.states.add(rid)
         exchange.respond(200)
 
     def have_read(self, exchange, rid):
         if not exchange.over:
-            self.states.add(rid)
+            if rid in self.reading:
+                self.reading.discard(rid)
+                self.states.add(rid)
             exchange.json(202, {"cached_tokens": 0}, more=self.more())
 
     @staticmethod
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -52,3 +52,40 @@
         assert len(seen) >= 12
         # One may still be held by the timers of its own that have not come due.
         assert sum(ref() is not None for ref in seen) == 0, [type(ref()) for ref in seen if ref() is not None]
+
+
+def spoilt(answer, after=0):
+    """A fault: one answer of these bytes in place of a whole one; the connection stays open."""
+    left = [1]
+
+    def fault(exchange):
+        if exchange.path != b"/v1/chat/completions" or not left:
+            return False
+        left.pop()
+        exchange.conn.server.loop.call_later(after, exchange.write, answer)
+        return True
+    return fault
+
+
+def test_a_release_does_not_reach_the_state_of_the_next_read(tmp_path):
+    """Seen: of 30 writes spoilt before their first event, all but a few were pushed back. The next writer had no state to
+    fetch, the module read again, and the release of the first state dropped the second."""
+    with Door(tmp_path, ("read", "write", "write", "write")) as door:
+        reader, *writers = door.platform.servers.values()
+        reader.read_us = 60_000
+        first = []
+
+        def fault(exchange):
+            if exchange.path != b"/v1/chat/completions" or first:
+                return False
+            first.append(exchange)
+            reader.states.clear()  # this one has fetched it
+            exchange.write(b"\x00\x01 noise\r\n\r\n")
+            return True
+        for writer in writers:
+            writer.fault = fault
+        client = door.ask("a1").whole()
+        assert client.status == 200 and not client.cut
+        door.settled()
+        rows = [(row[1], row[0]) for row in door.platform.seen()]
+        assert [r for r in rows if r[0] == b"POST"].count((b"POST", "s-1")) == 2  # read once more, and no third time
