--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -336,7 +336,7 @@
     def make_room(self):
         """Connections run short: closes one that has said nothing yet, else the longest idle one, else one whose
         request has been half here for long. Guards usual clients against hundreds that connect and say nothing; could
-        harm a client that is slow to say its first word, so each has a moment for it, and what came in is looked for."""
+        harm a client that is slow to say its first word, so the oldest goes first, and what came in is looked for."""
         now, spare_us = self.loop.now, self.limits.spare_us
         best = (4, 0, None)  # rank, since when, which
         for c in self.connections:
@@ -348,7 +348,7 @@
             elif c.served:
                 rank = 1 if age > spare_us else 2
             else:
-                rank = 0 if age > spare_us // 32 else None
+                rank = 0
             if rank is not None and (rank, c.since_us) < best[:2] and not c.stream.pending():
                 best = rank, c.since_us, c
         if best[2] is not None:
--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -74,6 +74,7 @@
                 raise Wrong("only POST", 405)
             spec = self.spec(exchange)
         except Wrong as problem:
+            exchange.keep = False  # what stands behind it is not worth reading: it may be hundreds more of its kind
             return exchange.json(problem.status, {"error": {"message": str(problem)}})
         listener = Listener(exchange)
         listener.follow(self.core, self.core.take(spec, listener))
