A stream that stopped ends its client's connection within the platform's 5 s

Ruled out: reqs not begun (the module takes silent forwards back in time). Line at fault: node/serve.py STREAM_IDLE_MS, 15 s, where PROTOCOL gives 5 s after the last event.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -233,3 +233,15 @@
         if behind:
             assert door.node.pool.reused == 0
         door.settled()
+
+
+def test_a_stream_that_stops_short_ends_its_client_within_5_s(tmp_path):
+    """Seen: two clients left waiting on streams that had stopped broke the rule on lost requests."""
+    with Door(tmp_path, ("both",)) as door:
+        door.platform.servers["s-1"].fault = spoilt(START)
+        client = door.ask("a1")
+        door.until(lambda: EVENT in client.look())
+        begun = door.loop.clock.now_us()
+        door.until(lambda: client.look() and client.closed, 6_000_000)
+        assert 3_500_000 < door.loop.clock.now_us() - begun < 4_900_000 and client.cut
+        door.settled()
