--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -114,7 +114,7 @@
         """-> the Req, or None where `listener` was answered at once without one being taken."""
         now = self.loop.clock.now_us()
         if self.draining:
-            return self.refuse(listener, 0 if self.elsewhere else None)
+            return self.refuse(listener, 100 * MS if self.elsewhere else None)
         if self.open >= self.limits.open_reqs:
             return self.refuse(listener)
         stay_us = self.caps.allows(now, spec.tenant)
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -4,6 +4,8 @@
 import time
 from typing import NamedTuple
 
+import msgspec
+
 from lapiswing.admission import Repeats
 from lapiswing.gateway.core import Core
 from lapiswing.http1 import Limits as HttpLimits
@@ -11,6 +13,7 @@
 from lapiswing.loop import Clock, Listener, Loop, address_of, listen_socket
 from lapiswing.membership import Membership
 from lapiswing.node import config as configs
+from lapiswing.node import view
 from lapiswing.node.discovery import DECODER, Discovery, Rows
 from lapiswing.node.front import Front
 from lapiswing.node.servers import MOST, Servers
@@ -128,7 +131,6 @@
         self.log.info("listening", at=self.config.listen, boxes=len(self.rows.rows), sockets=self.config.limits.sockets)
 
     def take_known(self):
-        import msgspec
         if self.config.known is None:
             return
         try:
@@ -147,6 +149,14 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.on_signal(number, self.stop)
         self.loop.on_signal(signal.SIGHUP, self.reload)
+        self.loop.on_signal(signal.SIGUSR1, self.show)
+
+    def show(self):
+        """One line for each model server: what the decisions believe of it, beside what the sockets show."""
+        self.log.info("view", reqs=len(self.core.reqs), open=self.core.open, clients=len(self.server.connections),
+                      to_servers=len(self.pool.all), releasing=self.servers.releasing)
+        for row in view.rows(self.core, self.servers, self.pool):
+            self.log.info("view", **row)
 
     def reload(self):
         """Another discovery address; what can't be read leaves the last configuration standing."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,12 +1,24 @@
 """The platform's door, against stand-ins of its servers and discovery."""
 import gc
+import json
+import os
+import signal
+import subprocess
+import sys
 import weakref
 
 import pytest
-from platform_door import BODY, Door, head
+from platform_door import BODY, SETTINGS, Door, head
 
 from lapiswing.gateway import core as core_module
+from lapiswing.loop import address_of, free_ports
+from lapiswing.node import serve as node_serve
 from lapiswing.node import servers as node_servers
+from lapiswing.node import view
+from lapiswing.node.config import load
+from lapiswing.node.outcomes import load_of, of_failure, of_status
+from lapiswing.policy import Router
+from lapiswing.standin.platform import Discovery
 
 S = 1_000_000
 
@@ -245,3 +257,274 @@
         door.until(lambda: client.look() and client.closed, 6_000_000)
         assert 3_500_000 < door.loop.clock.now_us() - begun < 4_900_000 and client.cut
         door.settled()
+
+
+# ---- discovery, signals, configuration
+
+
+def test_servers_come_drain_and_go_by_the_watch(tmp_path):
+    with Door(tmp_path, ("both",)) as door:
+        platform, old = door.platform, door.platform.servers["s-1"]
+        new = platform.add("both")
+        platform.discovery.tell(new.row())
+        door.until(lambda: len(door.node.rows.rows) == 2)
+        old.status = "DRAINING"
+        platform.discovery.tell(old.row())
+        door.until(lambda: door.core.router.machines["s-1"].mode == "draining")
+        for i in range(4):
+            assert door.ask(f"a{i}").whole().status == 200
+        assert {row[0] for row in platform.seen(b"POST")} == {"s-2"}
+        platform.discovery.tell(platform.remove(old))
+        door.until(lambda: "s-1" not in door.core.router.machines)
+        assert "s-1" not in door.core.kinds and "s-1" not in door.node.servers.addresses
+
+
+@pytest.mark.parametrize("how", ["silent", "garbage"])
+def test_discovery_that_says_nothing_to_be_read_leaves_the_list_standing(tmp_path, how):
+    with Door(tmp_path, ("both",)) as door:
+        discovery = door.platform.discovery
+        setattr(discovery, how, True)
+        discovery.tell(door.platform.servers["s-1"].row())
+        door.until(lambda: any("discovery silent" in line for line in door.log.lines), 8_000_000)
+        assert door.ask("a1").whole().status == 200
+        setattr(discovery, how, False)
+        door.until(lambda: any("discovery heard" in line for line in door.log.lines), 8_000_000)
+
+
+def test_a_reload_moves_to_the_new_discovery_under_load_and_a_bad_file_changes_nothing(tmp_path):
+    with Door(tmp_path, ("both",)) as door:
+        server = door.platform.servers["s-1"]
+        server.pause_us = 100_000
+        client = door.ask("a1")
+        door.until(lambda: client.status)
+        other = Discovery(door.platform)
+        other.index = 90
+        for text in ("{", json.dumps({**door.config, "discovery": "nowhere"})):
+            door.path.write_text(text)
+            door.node.reload()
+        assert door.node.discovery.address == address_of(door.platform.discovery.address)
+        assert sum("configuration can't be read" in line[0] for line in door.log.lines) == 2
+        for address in (other.address, door.platform.discovery.address, other.address):
+            door.path.write_text(json.dumps({**door.config, "discovery": address}))
+            door.node.reload()
+        added = door.platform.add("both")
+        other.tell(added.row())
+        door.until(lambda: added.name in door.node.rows.rows)
+        assert client.whole().status == 200 and not client.cut
+        other.server.listener.close()
+        other.server.close()
+
+
+def test_sigterm_ends_what_was_taken_and_sends_others_away(tmp_path):
+    with Door(tmp_path, ("both",)) as door:
+        server, stopped = door.platform.servers["s-1"], []
+        server.pause_us = 250_000
+        door.loop.stop = lambda: stopped.append(door.loop.clock.now_us())
+        kept = door.ask("a0").whole()
+        client = door.ask("a1")
+        door.until(lambda: client.status)
+        door.node.stop()
+        door.node.stop()  # a second one does no harm
+        late = door.ask("a2").whole()
+        assert late.status == 503 and b"retry-after: 0.1" in late.got.lower() and b"connection: close" in late.got.lower()
+        door.until(lambda: kept.ended() and kept.closed)
+        assert door.client(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n").whole().status == 503
+        assert client.whole().status == 200 and not client.cut
+        door.until(lambda: stopped)
+        assert not door.core.reqs and [row[3] for row in door.platform.seen(b"POST")] == ["a0", "a1"]
+
+
+FAULTS = {
+    "file: not JSON": lambda c: "{", "seed: not a hexadecimal": lambda c: c | {"seed": "xyz"},
+    "limits.sockets: Expected `int`": lambda c: c | {"limits": {"cores": 1, "memory_mb": 64, "sockets": "many"}},
+    "limits.sockets: less than": lambda c: c | {"limits": {"cores": 1, "memory_mb": 64, "sockets": 8}},
+    "listen: ": lambda c: c | {"listen": "here"}, "discovery: ": lambda c: c | {"discovery": "127.0.0.1"},
+    "settings.rules: is missing": lambda c: c | {"settings": {k: v for k, v in SETTINGS.items() if k != "Rules"}},
+    "settings.classes: ": lambda c: c | {"settings": {**SETTINGS, "Classes": []}},
+    "settings.family_info.duty_by_kind: ": lambda c: c | {"settings": {**SETTINGS, "Kinds": ["one"]}},
+}
+
+
+@pytest.mark.parametrize("said", FAULTS)
+def test_a_bad_configuration_is_told_by_file_field_and_reason(tmp_path, said):
+    path = tmp_path / "config.json"
+    good = {"name": "n", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:8", "seed": "1f",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "settings": SETTINGS}
+    path.write_text(json.dumps(good))
+    load(str(path))
+    value = FAULTS[said](good)
+    path.write_text(value if isinstance(value, str) else json.dumps(value))
+    done = subprocess.run([sys.executable, "-m", "lapiswing.node"], env={**os.environ, "RELAY_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=30)
+    assert done.returncode == 2 and f"{path}: {said}" in done.stderr
+
+
+def test_the_program_serves_and_ends_on_sigterm(tmp_path):
+    with Door(tmp_path, ("both",)) as door:
+        port, = free_ports(1)
+        path = tmp_path / "own.json"
+        path.write_text(json.dumps({**door.config, "listen": f"127.0.0.1:{port}"}))
+        program = subprocess.Popen([sys.executable, "-m", "lapiswing.node"], env={**os.environ, "RELAY_CONFIG": str(path)},
+                                   stderr=subprocess.PIPE, text=True)
+        try:
+            assert "listening" in program.stderr.readline() + program.stderr.readline()
+            door.port = port
+            assert door.ask("a1").whole().status == 200
+            program.send_signal(signal.SIGHUP)
+            assert door.ask("a2").whole().status == 200
+            program.send_signal(signal.SIGTERM)
+            assert program.wait(10) == 0
+        finally:
+            program.kill()
+            program.stderr.close()
+
+
+# ---- forwards, states
+
+
+def test_what_comes_back_from_a_server_is_told_as_the_protocol_has_it():
+    assert [of_status(s, d) for s, d in ((200, False), (202, False), (503, True), (504, True), (410, True))] == [
+        ("stream", None), ("read", None), ("full", 0), ("full", 0), ("full", 1)]
+    assert {of_status(s, False)[0] for s in (500, 503, 504, 410, 302, 429)} == {"error"}
+    assert of_status(500, True)[0] == "error" and of_status(400, False)[0] == "answered"
+    assert [of_failure(s) for s in ("connect", "unsent", "sent", "head", "body")] == [
+        "unreachable", "unreachable", "reset", "reset", "reset"]
+    names = {"queue", "x0"}
+    assert load_of(b"TEXT queue=2, x0=0.5, other=1", names) == {"queue": 2.0, "held": 0.5}
+    for bad_report in (None, b"", b"TEXT queue=", b"queue=nan", b"queue=-1", b"\xff" * 9, b"queue=1," * 100):
+        assert load_of(bad_report, names) is None
+
+
+def test_a_client_that_leaves_takes_its_forward_back_and_its_state_is_released(tmp_path):
+    with Door(tmp_path) as door:
+        reader = door.platform.servers["s-1"]
+        reader.read_us = 300_000
+        client = door.ask("a1")
+        door.until(lambda: reader.seen)
+        client.close()
+        door.until(lambda: reader.left == 1)
+        door.settled()
+        assert [row[1:4] for row in door.platform.seen(b"DELETE")] == [(b"DELETE", b"/bootstrap/rooms/a1", "")]
+
+
+def test_a_release_goes_to_another_server_where_its_holder_is_cut_off(tmp_path):
+    with Door(tmp_path) as door:
+        reader, *writers = door.platform.servers.values()
+        begun = []
+
+        def gone(exchange):  # holds the state and answers nothing more
+            return exchange.method == b"DELETE"
+        reader.fault = gone
+
+        def error(exchange):
+            if exchange.path == b"/v1/chat/completions":
+                begun.append(door.loop.clock.now_us())
+                exchange.respond(500)
+                return True
+        for writer in writers:
+            writer.fault = error
+        client = door.ask("a1").whole()
+        assert client.status in (502, 503)
+        told = lambda: [row for row in door.platform.seen(b"DELETE") if row[0] != "s-1"]  # noqa: E731
+        door.until(told)
+        assert door.loop.clock.now_us() - begun[-1] < 500_000  # the platform's time for it
+        door.settled()
+
+
+def test_a_server_that_is_not_there_proves_that_the_forward_did_not_run(tmp_path):
+    with Door(tmp_path, ("both", "both")) as door:
+        dead = door.platform.servers["s-1"]
+        dead.server.listener.close()
+        dead.server.close()
+        for i in range(4):
+            assert door.ask(f"a{i}").whole().status == 200
+        assert all(row[0] == "s-2" for row in door.platform.seen(b"POST"))
+
+
+class Heard(Router):
+    def round(self, now_us, events, out):
+        self.heard = getattr(self, "heard", []) + [e for e in events if e[0] == "req"]
+        super().round(now_us, events, out)
+
+
+def test_the_module_hears_what_the_client_said(tmp_path, monkeypatch):
+    monkeypatch.setattr(node_serve.Node.__init__, "__defaults__", (None, Heard))
+    with Door(tmp_path, ("both",)) as door:
+        now = door.loop.clock.now_us()
+        door.ask("a1", Req_Retry="1").whole()
+        door.ask("a2", Req_Retry="again", Req_Key=None, Req_Extra=None, Req_Deadline="0.5").whole()
+        (_, rid, tokens, expires, session, prefix, prefix_tokens, most_out, hint, bits, tenant, group), two = (
+            door.core.router.heard)
+        assert (rid, tokens, session, prefix, prefix_tokens, most_out, hint, bits, tenant, group) == (
+            "a1", 100, "k1", "p1", 40, 50, None, 2, 0, 0)
+        assert 3 * S <= expires - now < 3.2 * S
+        assert two[2:3] + two[4:7] + two[9:10] == (len(BODY) // 4, None, None, 0, 16)
+
+
+def test_what_the_module_gives_up_on_is_answered_at_once_with_when_to_come_back(tmp_path):
+    with Door(tmp_path, ("read",)) as door:  # nobody writes
+        begun = door.loop.clock.now_us()
+        client = door.ask("a1").whole()
+        assert client.status == 503 and b"retry-after: " in client.got.lower()
+        assert door.loop.clock.now_us() - begun < 500_000 and not door.platform.seen(b"POST")
+
+
+@pytest.mark.parametrize("status, held, left", [(200, True, True), (409, False, False), (404, False, False),
+                                                (204, None, True)])
+def test_a_held_place_is_told_and_released(tmp_path, status, held, left):
+    """A place may be held though the server does not know."""
+    with Door(tmp_path) as door:
+        reader, writer, _ = door.platform.servers.values()
+        reader.read_us = 100_000
+
+        def fault(exchange):
+            if exchange.method == b"POST" and exchange.path.startswith(b"/bootstrap"):
+                exchange.respond(status)
+                return True
+        writer.fault = fault
+        client = door.ask("a1")
+        door.until(lambda: reader.seen)
+        told = []
+        door.core.place, real = lambda *args: (told.append(args[-1]), real(*args)), door.core.place
+        door.core.hold_place("a1", writer.name)
+        door.until(lambda: told)
+        assert told == [held] and (door.core.reqs["a1"].left is not None) == left
+        client.close()
+        door.settled()
+        assert door.platform.seen(b"DELETE")
+
+
+def test_the_view_of_each_server_is_what_the_sockets_show(tmp_path):
+    with Door(tmp_path, ("both", "both")) as door:
+        for server in door.platform.servers.values():
+            server.pause_us = 100_000
+        clients = [door.ask(f"a{i}") for i in range(6)]
+        door.until(lambda: all(c.status for c in clients))
+        rows = view.rows(door.core, door.node.servers, door.node.pool)
+        assert sum(r["believed"] for r in rows) == 6 and all(r["believed"] == r["out"] == r["busy"] for r in rows)
+        door.node.show()
+        assert sum(line[0] == "view" for line in door.log.lines) == 3
+        for client in clients:
+            client.whole()
+        door.settled()
+
+
+def test_thousands_of_servers_and_reqs_leave_nothing_behind(tmp_path):
+    with Door(tmp_path, ("both", "both")) as door:
+        core, rows = door.core, door.node.rows
+        first = list(rows.rows.values())
+        for i in range(1500):
+            rows.rows = {r.id: r for r in first + [first[0]._replace(id=f"x-{i}", kind=i % 3)]}
+            door.node.on_rows()
+            core.turn()
+        for i in range(300):
+            client = door.ask(f"a{i}", Req_Key=f"k{i}").whole()
+            assert client.status == 200
+            client.close()
+        door.settled()
+        door.until(lambda: not door.node.server.connections)
+        router = core.router
+        assert len(router.machines) <= 3 and len(core.kinds) <= 3 and len(core.tally.boxes) <= 3
+        assert router.joint.shape[0] <= 3 and not router.reqs and not core.ended
+        assert len(door.node.pool.count) <= 2 and len(door.node.pool.all) <= 2 * door.node.pool.kept
+        assert len(door.loop.watched) < 40 and len([t for t in door.loop.timers if t[2].call is not None]) < 20
