While stopping, kept connections are told at their next request when to come back

Checked: what was cut (8 streams at each kill, longer than SIGTERM to kill). Ruled out: requests on kept connections after 0.4 s.

--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -106,16 +106,12 @@
         self.router = router(seed, router_settings, loop.clock.now_us())
         loop.after.append(self.turn)
 
-    elsewhere = False  # while this one drains, others behind the same front serve a call that comes again at once
-
     # ---- from fronts
 
     def take(self, spec, listener):
         """-> the Req, or None where `listener` was answered at once without one being taken."""
         now = self.loop.clock.now_us()
-        if self.draining:
-            return self.refuse(listener, 100 * MS if self.elsewhere else None)
-        if self.open >= self.limits.open_reqs:
+        if self.draining or self.open >= self.limits.open_reqs:
             return self.refuse(listener)
         stay_us = self.caps.allows(now, spec.tenant)
         if stay_us is not None:
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -24,7 +24,8 @@
 FIRST_US = 2200 * MS  # from connecting to a whole request; the platform gives 3 s
 BUFFER = 65536
 STREAM_IDLE_MS = 4500  # a begun stream that is silent for this long has stopped; the platform gives clients 5 s
-MOVE_AFTER_US = 450 * MS  # new connections may come for this long after SIGTERM
+PORT_US = 450 * MS  # new connections may come for this long after SIGTERM
+KEPT_US = 2500 * MS  # kept ones may be used until then; the kill comes 3.7 s after SIGTERM at the earliest
 OWN = 24  # descriptors for the loop, the listener, logs and discovery
 LINES, LINES_S = 200, 5  # of the log: at once, and a second
 
@@ -107,7 +108,7 @@
                          [Group() for _ in settings["groups"]]),
             settings, settings["family_info"]["duty_by_kind"], self.config.name, int(self.config.seed, 16), self.log,
             router)
-        self.core.line_each, self.core.elsewhere = False, True
+        self.core.line_each = False
         self.rows = Rows(settings["kinds"], settings["zones"], self.started_us)
         self.front = Front(self.core, settings["groups"], lambda: bool(self.rows.rows) and not self.stopping)
         self.server = Server(self.loop, self.front.app, HttpLimits(
@@ -175,16 +176,20 @@
         self.stopping = True
         self.log.info("stopping", open=self.core.open)
         self.core.draining, self.core.on_idle = True, None
-        self.server.drain()
-        self.loop.call_later(MOVE_AFTER_US, self.close_port)
+        # Kept connections are told at their next request, with when to come back. Closed at once their clients would
+        # knock at others, of which one may just be starting; could harm where no other starts, by that one wait.
+        self.server.closing = True
+        self.loop.call_later(PORT_US, self.close_port)
+        self.loop.call_later(KEPT_US, self.server.drain)
 
     def close_port(self):
         self.listener.close()
         self.finish()
 
     def finish(self):
-        if self.core.reqs or self.servers.releasing or self.server.connections:
+        if self.core.reqs or self.servers.releasing or any(c.stream.waiting for c in self.server.connections):
             return self.loop.call_later(20 * MS, self.finish)
+        self.server.drain()
         self.log.info("stopped", rounds=self.core.rounds, round_ms=self.core.round_us // MS,
                       **{k.replace(" ", "_"): v for k, v in self.core.counts.items() if v})
         self.loop.stop()
