--- a/lapiswing/node/config.py
+++ b/lapiswing/node/config.py
@@ -1,4 +1,5 @@
-"""The configuration that the platform gives, read and checked. Raises ConfigError with file, field and reason."""
+"""The configuration that the platform gives, read and checked. Raises ConfigError with file, field and
+reason."""
 from typing import Any
 
 import msgspec
--- a/lapiswing/node/discovery.py
+++ b/lapiswing/node/discovery.py
@@ -64,7 +64,8 @@
 
 class Discovery:
     def __init__(self, loop, pool, address, rows, on_rows, log):
-        self.loop, self.pool, self.address, self.rows, self.on_rows, self.log = loop, pool, address, rows, on_rows, log
+        self.loop, self.pool, self.address = loop, pool, address
+        self.rows, self.on_rows, self.log = rows, on_rows, log
         self.call, self.whole, self.silent = None, True, False
         self.timer = loop.call_later(0, self.ask)
 
@@ -140,7 +141,8 @@
 
     def on_end(self):
         if not self.over:
-            self.discovery.answered(self, self.status, b"".join(self.parts) if self.size <= LIST_BYTES else b"")
+            whole = self.size <= LIST_BYTES
+            self.discovery.answered(self, self.status, b"".join(self.parts) if whole else b"")
 
     def on_fail(self, stage, why):
         if not self.over:
--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -5,8 +5,8 @@
 import orjson
 
 from lapiswing.gateway.core import Spec
-from lapiswing.node.names import (CHAT, DEADLINE, EXTRA, GROUP, ID, MOST_OUT, PREFIX, PREFIX_TOKENS, PROMPT, READY,
-                                  RETRIES, RETRY, RETRY_AFTER, SESSION)
+from lapiswing.node.names import (CHAT, DEADLINE, EXTRA, GROUP, ID, MOST_OUT, PREFIX, PREFIX_TOKENS, PROMPT,
+                                  READY, RETRIES, RETRY, RETRY_AFTER, SESSION)
 from lapiswing.node.servers import Ask
 
 RID = re.compile(rb"[0-9A-Za-z._~-]{1,64}")
@@ -33,7 +33,7 @@
 
 
 def extra_of(value):
-    """`prefix=5c0f,prompt_len=5120` -> {'prefix': '5c0f', 'prompt_len': 5120}; names that are not known are skipped."""
+    """`prefix=5c0f,prompt_len=5120` -> {'prefix': '5c0f', 'prompt_len': 5120}; unknown names are skipped."""
     out = {}
     for item in (value or b"").decode("latin-1").split(","):
         name, _, text = item.strip().partition("=")
@@ -74,7 +74,7 @@
                 raise Wrong("only POST", 405)
             spec = self.spec(exchange)
         except Wrong as problem:
-            exchange.keep = False  # what stands behind it is not worth reading: it may be hundreds more of its kind
+            exchange.keep = False  # what stands behind it is not read: it may be hundreds more of its kind
             return exchange.json(problem.status, {"error": {"message": str(problem)}})
         listener = Listener(exchange)
         listener.follow(self.core, self.core.take(spec, listener))
--- a/lapiswing/node/outcomes.py
+++ b/lapiswing/node/outcomes.py
@@ -1,7 +1,7 @@
 """What comes back from a model server, in the module's codes. Pure.
 
-Only a refusal with its mark, a connection that never was and a request that was not wholly written prove that a forward
-did not run; everything else may have."""
+Only a refusal with its mark, a connection that never was and a request that was not wholly written prove that a
+forward did not run; everything else may have."""
 from math import isfinite
 
 from lapiswing.words import report
@@ -29,7 +29,7 @@
 
 
 def load_of(value, names):
-    """`TEXT inflight=7, queue=2` -> a report in the module's words; None where it can't be read as a whole."""
+    """`TEXT inflight=7, queue=2` -> a report in the module's words; None where any of it can't be read."""
     if not value or len(value) > 512:
         return None
     text = value.decode("latin-1").strip()
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -23,7 +23,7 @@
 HEAD_BYTES = 16384
 FIRST_US = 2200 * MS  # from connecting to a whole request; the platform gives 3 s
 BUFFER = 65536
-STREAM_IDLE_MS = 4500  # a begun stream that is silent for this long has stopped; the platform gives clients 5 s
+STREAM_IDLE_MS = 4500  # a begun stream that is silent for this long has stopped; clients are given 5 s
 PORT_US = 450 * MS  # new connections may come for this long after SIGTERM
 KEPT_US = 2500 * MS  # kept ones may be used until then; the kill comes 3.7 s after SIGTERM at the earliest
 OWN = 24  # descriptors for the loop, the listener, logs and discovery
@@ -104,10 +104,11 @@
         margin_us = settings.get("resolution_us") or MS
         self.core = Core(
             self.loop, self.servers, Membership(), Repeats(1, 1),
-            CoreSettings(CoreLimits(margin_us / MS, self.clients, (limits.get("max_retry_after_us") or 0) // MS),
-                         [Group() for _ in settings["groups"]]),
-            settings, settings["family_info"]["duty_by_kind"], self.config.name, int(self.config.seed, 16), self.log,
-            router)
+            CoreSettings(
+                CoreLimits(margin_us / MS, self.clients, (limits.get("max_retry_after_us") or 0) // MS),
+                [Group() for _ in settings["groups"]]),
+            settings, settings["family_info"]["duty_by_kind"], self.config.name, int(self.config.seed, 16),
+            self.log, router)
         self.core.line_each = False
         self.rows = Rows(settings["kinds"], settings["zones"], self.started_us)
         self.front = Front(self.core, settings["groups"], lambda: bool(self.rows.rows) and not self.stopping)
@@ -123,13 +124,15 @@
         """Raises OSError where it can't listen."""
         self.take_known()
         self.core.turn()
-        self.discovery = Discovery(self.loop, self.asking, address_of(self.config.discovery), self.rows, self.on_rows,
-                                   self.log)
+        self.discovery = Discovery(self.loop, self.asking, address_of(self.config.discovery), self.rows,
+                                   self.on_rows, self.log)
         sock = listen_socket(*address_of(self.config.listen))
-        self.listener = Listener(self.loop, sock, self.server.accept, self.clients, high=BUFFER, low=BUFFER // 4)
+        self.listener = Listener(self.loop, sock, self.server.accept, self.clients, high=BUFFER,
+                                 low=BUFFER // 4)
         self.listener.make_room = self.server.make_room
         self.server.listener = self.listener
-        self.log.info("listening", at=self.config.listen, boxes=len(self.rows.rows), sockets=self.config.limits.sockets)
+        self.log.info("listening", at=self.config.listen, boxes=len(self.rows.rows),
+                      sockets=self.config.limits.sockets)
 
     def take_known(self):
         if self.config.known is None:
@@ -154,8 +157,9 @@
 
     def show(self):
         """One line for each model server: what the decisions believe of it, beside what the sockets show."""
-        self.log.info("view", reqs=len(self.core.reqs), open=self.core.open, clients=len(self.server.connections),
-                      to_servers=len(self.pool.all), releasing=self.servers.releasing)
+        self.log.info("view", reqs=len(self.core.reqs), open=self.core.open,
+                      clients=len(self.server.connections), to_servers=len(self.pool.all),
+                      releasing=self.servers.releasing)
         for row in view.rows(self.core, self.servers, self.pool):
             self.log.info("view", **row)
 
@@ -170,14 +174,14 @@
         self.discovery.move(address_of(fresh.discovery))
 
     def stop(self):
-        """Sends kept clients away, takes connections while they may still come, ends when all that was taken has."""
+        """Sends kept clients away, takes connections while they may come, ends when all that was taken has."""
         if self.stopping:
             return
         self.stopping = True
         self.log.info("stopping", open=self.core.open)
         self.core.draining, self.core.on_idle = True, None
-        # Kept connections are told at their next request, with when to come back. Closed at once their clients would
-        # knock at others, of which one may just be starting; could harm where no other starts, by that one wait.
+        # Kept connections are told at their next request, with when to come back. Closed at once their clients
+        # would knock at others, of which one may just be starting; could harm where none is, by that one wait.
         self.server.closing = True
         self.loop.call_later(PORT_US, self.close_port)
         self.loop.call_later(KEPT_US, self.server.drain)
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -97,8 +97,8 @@
         self.watch()
 
     def watch(self):
-        """Guards against a chunk whose size was a lie: nothing more comes, and the connection stays open. Could harm
-        where a network stops for this long in the middle of a chunk."""
+        """Guards against a chunk whose size was a lie: nothing more comes, and the connection stays open. Could
+        harm where a network stops for this long in the middle of a chunk."""
         if not self.over and self.exchange.in_chunk != (self.timer is not None):
             self.drop_timer()
             if self.exchange.in_chunk:
@@ -179,7 +179,8 @@
     """A call without a body. `done(code, status, report, body)`, once."""
 
     def __init__(self, servers, address, method, target, timeout_us, done):
-        self.done, self.servers, self.status, self.report, self.parts, self.size = done, servers, None, None, [], 0
+        self.done, self.servers = done, servers
+        self.status, self.report, self.parts, self.size = None, None, [], 0
         self.timer = servers.loop.call_later(timeout_us, self.late)
         self.exchange = servers.pool.request(address, method, target, [], b"", self)
 
@@ -209,8 +210,8 @@
 
 
 class Release:
-    """Lets go of all that is held for a req. The one that holds it is told first; where it does not answer any other
-    server will do, since each of them passes it on, so the rule on what is held is kept though a machine is cut off."""
+    """Lets go of all that is held for a req. The one that holds it is told first; where it does not answer any
+    other server will do, since each of them passes it on: the rule is kept though a machine is cut off."""
 
     def __init__(self, servers, server, name):
         self.servers, self.target, self.tries = servers, ROOMS + name, RELEASES
@@ -265,7 +266,8 @@
         if address is None:
             forward.exchange = Nowhere(self.loop, forward)
         else:
-            forward.exchange = self.pool.request(address, raw.method, raw.target, fields, raw.body, forward, fresh)
+            forward.exchange = self.pool.request(address, raw.method, raw.target, fields, raw.body, forward,
+                                                 fresh)
         return forward
 
     def release(self, server, name):
--- a/lapiswing/node/view.py
+++ b/lapiswing/node/view.py
@@ -1,9 +1,10 @@
-"""What the decisions believe of each model server, beside what the sockets show. For those who look; SIGUSR1 logs it."""
+"""What the decisions believe of each model server, beside what the sockets show. For those who look;
+SIGUSR1 logs it."""
 
 
 def rows(core, servers, pool):
-    """One dict for each server that the module knows. `believed` and `out` are forwards without an outcome, by the
-    module's books and the core's; `busy` are connections with a request on them (releases and probes included)."""
+    """One dict for each server that the module knows. `believed` and `out` are forwards without an outcome, by
+    the module's books and the core's; `busy` are connections with a request on them, releases included."""
     believed, out = {}, {}
     for req in core.router.reqs.values():
         for forward in req.forwards:
--- a/lapiswing/words.py
+++ b/lapiswing/words.py
@@ -1,5 +1,5 @@
-"""The operators' settings and load reports in the module's words, for every wire that brings them: the simulator's and
-the platform's. Names and units, nothing else."""
+"""The operators' settings and load reports in the module's words, for every wire that brings them: the
+simulator's and the platform's. Names and units, nothing else."""
 import re
 
 from lapiswing.interface import EndpointGroup
