One listener base for both fronts, one end of a forward for both protocols

Seen on a last read of the platform's door: its listener's ties to the core stood in fronts/chat.py already, and how a forward is held up, taken back and ended stood in engine/client.py, where the copy in node/servers.py alone dropped its references. Change: gateway/fronts/listener.py and engine/forward.py serve both sides, so forwards of our own boxes leave no cycle either. Behaviour is as before; no test's assertion changed.

--- a/lapiswing/engine/client.py
+++ b/lapiswing/engine/client.py
@@ -8,6 +8,7 @@
 import orjson
 
 from lapiswing.chat import Events, TooLong
+from lapiswing.engine.forward import Exchanged
 from lapiswing.engine.outcomes import REFUSAL, of_failure, of_status, report_of
 from lapiswing.http1.wire import get
 from lapiswing.loop import address_of
@@ -39,29 +40,18 @@
     return body
 
 
-class Forward:
+class Forward(Exchanged):
     """One forward that is out."""
 
     def __init__(self, owner, server, stage, event_bytes):
-        self.owner, self.server, self.stage = owner, server, stage
-        self.begun = self.over = self.ended = False
-        self.status = self.report = self.code = self.remark = None
+        super().__init__(owner)
+        self.server, self.stage = server, stage
+        self.begun, self.ended, self.status = False, False, None
         self.body, self.size, self.held = [], 0, ([], [])
         self.events = Events(event_bytes)
-        self.params = self.cached = self.answer = self.exchange = None
+        self.params = self.cached = self.answer = None
         self.most = event_bytes
 
-    def cancel(self):
-        if not self.over:
-            self.over = True
-            self.exchange.cancel()
-
-    def pause(self):
-        self.exchange.pause()
-
-    def resume(self):
-        self.exchange.resume()
-
     # handler of the exchange
 
     def on_head(self, status, fields):
@@ -149,16 +139,6 @@
             return self.finish("full")  # the head has proved it
         self.finish(of_failure(stage) if stage != "body" or self.code in ("ok", "answered", None) else self.code)
 
-    def break_off(self, code):
-        if not self.over:
-            self.exchange.cancel()
-            self.finish(code)
-
-    def finish(self, code):
-        if not self.over:
-            self.over = True
-            self.owner.on_outcome(self, code, self.remark, self.report)
-
 
 def says_something(value):
     for choice in value.get("choices") or ():
--- a/lapiswing/gateway/fronts/chat.py
+++ b/lapiswing/gateway/fronts/chat.py
@@ -3,6 +3,7 @@
 
 from lapiswing.chat import DONE, Wrong, error_body, event, joined, parse_call, without_usage
 from lapiswing.chat.errors import aborted, pushed_back
+from lapiswing.gateway.fronts.listener import Listener
 from lapiswing.gateway.fronts.mapping import Unknown
 
 SSE = [(b"content-type", b"text/event-stream; charset=utf-8"), (b"cache-control", b"no-store"),
@@ -73,27 +74,12 @@
         listener.follow(self.core, self.core.take(spec, listener))
 
 
-class Listener:
+class Answering(Listener):
     """What both forms of answer share."""
 
     def __init__(self, exchange, call):
-        self.exchange, self.call, self.req, self.core = exchange, call, None, None
-
-    def follow(self, core, req):
-        self.core, self.req = core, req
-        if req is not None and not self.exchange.over:
-            self.exchange.on_left = self.left
-            self.exchange.on_drained = self.drained
-
-    def left(self):
-        self.core.left(self.req, self)
-
-    def drained(self):
-        self.core.drained(self.req)
-
-    @property
-    def full(self):
-        return self.exchange.full
+        super().__init__(exchange)
+        self.call = call
 
     def on_conflict(self):
         self.exchange.respond(422, error_body(
@@ -112,7 +98,7 @@
         self.exchange.respond(status, body, more=[NO_RETRY])
 
 
-class Whole(Listener):
+class Whole(Answering):
     full = False  # it takes everything until the end
 
     def on_begin(self):
@@ -125,7 +111,7 @@
         self.exchange.json(200, answer.assembler.completion())
 
 
-class Streamed(Listener):
+class Streamed(Answering):
     def on_begin(self):
         self.exchange.begin(200, SSE)
 
--- a/lapiswing/node/discovery.py
+++ b/lapiswing/node/discovery.py
@@ -121,9 +121,6 @@
             self.on_rows()
         self.ask()
 
-    def close(self):
-        self.stop()
-
 
 class Call:
     """Hears one call."""
--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -5,6 +5,7 @@
 import orjson
 
 from lapiswing.gateway.core import Spec
+from lapiswing.gateway.fronts.listener import Listener
 from lapiswing.node.names import (CHAT, DEADLINE, EXTRA, GROUP, ID, MOST_OUT, PREFIX, PREFIX_TOKENS, PROMPT,
                                   READY, RETRIES, RETRY, RETRY_AFTER, SESSION)
 from lapiswing.node.servers import Ask
@@ -76,7 +77,7 @@
         except Wrong as problem:
             exchange.keep = False  # what stands behind it is not read: it may be hundreds more of its kind
             return exchange.json(problem.status, {"error": {"message": str(problem)}})
-        listener = Listener(exchange)
+        listener = Answering(exchange)
         listener.follow(self.core, self.core.take(spec, listener))
 
     def spec(self, exchange):
@@ -103,39 +104,12 @@
         now = self.core.loop.now
         tokens = extra.get(PROMPT) or max(1, len(exchange.body) // BYTES_A_TOKEN)
         ask = Ask(exchange.method, exchange.target, rid, exchange.body)
-        return Spec(group, 0, Call(ask), tokens, now + within_us, session.decode() if session else None,
+        return Spec(group, 0, ask, tokens, now + within_us, session.decode() if session else None,
                     extra.get(PREFIX), extra.get(PREFIX_TOKENS, 0), extra.get(MOST_OUT, 0), None, b"",
                     rid=rid_text, bits=RETRIES.get(once(fields, RETRY), 0))
 
 
-class Call:
-    """What the core passes on to the servers."""
-    __slots__ = ("raw",)
-
-    def __init__(self, ask):
-        self.raw = ask
-
-
-class Listener:
-    def __init__(self, exchange):
-        self.exchange, self.core, self.req = exchange, None, None
-
-    def follow(self, core, req):
-        self.core, self.req = core, req
-        if req is not None and not self.exchange.over:
-            self.exchange.on_left = self.left
-            self.exchange.on_drained = self.drained
-
-    def left(self):
-        self.core.left(self.req, self)
-
-    def drained(self):
-        self.core.drained(self.req)
-
-    @property
-    def full(self):
-        return self.exchange.full
-
+class Answering(Listener):
     def on_begin(self):
         self.exchange.begin(200, STREAM)
 
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -179,7 +179,7 @@
             return
         self.stopping = True
         self.log.info("stopping", open=self.core.open)
-        self.core.draining, self.core.on_idle = True, None
+        self.core.draining = True
         # Kept connections are told at their next request, with when to come back. Closed at once their clients
         # would knock at others, of which one may just be starting; could harm where none is, by that one wait.
         self.server.closing = True
@@ -213,5 +213,5 @@
         self.server.close()
         self.pool.close()
         if self.discovery:
-            self.discovery.close()
+            self.discovery.stop()
         self.asking.close()
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -4,6 +4,7 @@
 
 import orjson
 
+from lapiswing.engine.forward import Exchanged
 from lapiswing.http1.wire import get
 from lapiswing.node.names import DEADLINE, DECLINED, HEALTHY, ID, LOAD, LOAD_LINE, LOADED, ROOMS
 from lapiswing.node.outcomes import load_of, of_failure, of_status
@@ -24,37 +25,30 @@
     target: bytes
     rid: bytes
     body: bytes
-    raw: "Ask | None" = None  # itself, for the core
 
+    @property
+    def raw(self):  # what the core passes on of a call
+        return self
 
-class Forward:
+
+class Forward(Exchanged):
     """One forward that is out."""
 
     def __init__(self, servers, owner, name):
-        self.servers, self.owner, self.name = servers, owner, name
-        self.begun = self.over = False
-        self.report = self.code = self.remark = self.status = self.timer = None
-        self.params = self.cached = self.answer = self.exchange = None
+        super().__init__(owner)
+        self.servers, self.name, self.begun = servers, name, False
+        self.status = self.timer = self.params = self.cached = self.answer = None
         self.size, self.parts, self.rest = 0, [], b""
 
-    def cancel(self):
-        if not self.over:
-            self.over = True
-            self.drop_timer()
-            self.exchange.cancel()
-            self.owner = self.exchange = None
+    def end(self):
+        self.drop_timer()
+        return super().end()
 
     def drop_timer(self):
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
 
-    def pause(self):
-        self.exchange.pause()
-
-    def resume(self):
-        self.exchange.resume()
-
     # handler of the exchange
 
     def on_head(self, status, fields):
@@ -67,7 +61,7 @@
             return
         self.size += len(data)
         if self.size > MOST:
-            return self.break_off()
+            return self.break_off("reset")
         if self.code != "stream":
             return self.parts.append(data)
         if self.rest:
@@ -75,14 +69,14 @@
         end = data.rfind(b"\n\n") + 2
         if end < 2 or len(data) - end > EVENT:
             if len(data) > EVENT:
-                return self.break_off()
+                return self.break_off("reset")
             end = 0
         whole, self.rest = (data[:end], data[end:]) if end else (b"", data)
         events = 0
         for block in whole.split(b"\n\n")[:-1]:
             said = self.look(block)
             if said is None:
-                return self.break_off()
+                return self.break_off("reset")
             events += said
         if whole and not self.begun:
             self.parts.append(whole)
@@ -109,7 +103,7 @@
         if self.over:
             return
         if self.size == size:
-            return self.break_off()
+            return self.break_off("reset")
         self.watch()
 
     def look(self, block):
@@ -162,18 +156,6 @@
         proved = self.code == "full" and stage == "body"  # the head has proved it
         self.finish("full" if proved else of_failure(stage))
 
-    def break_off(self):
-        if not self.over:
-            self.exchange.cancel()
-            self.finish("reset")
-
-    def finish(self, code):
-        if not self.over:
-            self.over = True
-            self.drop_timer()
-            owner, self.owner, self.exchange = self.owner, None, None  # no cycle is left behind
-            owner.on_outcome(self, code, self.remark, self.report)
-
 
 class Small:
     """A call without a body. `done(code, status, report, body)`, once."""
--- a/tests/platform_door.py
+++ b/tests/platform_door.py
@@ -4,7 +4,6 @@
 
 from lapiswing.loop import Clock, Loop, free_ports
 from lapiswing.node.serve import Node
-from lapiswing.observe import start_logs
 from lapiswing.standin.platform import Platform
 
 BODY = json.dumps({"model": "chat", "stream": True, "messages": [{"role": "user", "content": "x" * 400}]}).encode()
