--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -37,7 +37,6 @@
         self.waiting, self.heard_us, self.told_us, self.told_at = {}, 0, 0, 0
         self.held, self.held_at = 0.0, -1 << 40  # share of its memory that it last told as held
         self.answered_us = 0  # when the latest-sent of the answered forwards was sent
-        self.budget, self.budget_us, self.budget_for = 0.0, 0, 0  # forwards that it may be sent while cold
         self.listed(row, kinds)
 
     def listed(self, row, kinds):
@@ -52,7 +51,7 @@
         self.id, self.group, self.tenant, self.tokens = rid, group, tenant, tokens
         self.arrived, self.expires, self.target = now, expires, target
         self.forwards, self.out, self.tried = [], 0, set()  # out: how many have no outcome yet
-        self.holder = self.begun = None
+        self.holder = self.begun = self.turn = None  # turn: a cold writer that will take it
         self.ran, self.fresh, self.closed, self.over = [], tokens, False, False  # ran: forwards that may have
 
 
@@ -70,7 +69,7 @@
         self.start_cost = max([g.target_per_1000_us / 1000 for g in self.groups] + [0.0]) or 50.0
         self.margin_us = settings.get("resolution_us", MS)
         self.cold_from, self.ramp_us = rules["cold_from"], rules["ramp_time_us"]
-        self.cold_multiple, self.cold_window_us = rules["fall_multiple"], rules["overload_for_us"]
+        self.cold_multiple = rules["fall_multiple"]
         self.asks = settings.get("membership_mode") == "subscribe"
         self.quota = [t.get("quota_rps", 0) / self.gateways for t in settings.get("tenants") or []]
         self.quota_left, self.machines, self.reqs, self.expect = [2 * q for q in self.quota], {}, {}, {}
@@ -88,6 +87,7 @@
         self.kind_cost = [[0.0, 0.0] for _ in self.kinds]  # read time and tokens lately
         self.heat = {}  # reqs by prefix
         self.read_tokens, self.read_span, self.reads_out, self.subscribed = 0.0, MS, 0, True
+        self.asked = self.read_well = 0.0  # lately: reqs, less those without a turn; reads that ended well
         self.news, self.timer, self.moved_us, self.halved_us = 0, False, 0, now_us
         self.seen, self.ask_us, self.failing = 0, 0, 0.0  # outcomes since halving; part that fail
         self.answer_us = [0.0] * len(self.groups)  # answer length, as time
@@ -187,6 +187,7 @@
 
     def level_pairs(self):  # new pairs at the mean share; a mixed server writes itself what it reads
         ready = [m for m in self.machines.values() if m.mode == "ready"]
+        self.cold_until = max([m.started_us + self.ramp_us * 1.2 for m in ready if m.started_us], default=0)
         sides = self.readers, self.writers = [m for m in ready if m.reads], [m for m in ready if m.writes]
         self.row, self.column = ({m.id: i for i, m in enumerate(side)} for side in sides)
         (self.r_at, r_zone, r_cell, mixed), (self.w_at, w_zone, w_cell, _) = (
@@ -237,6 +238,7 @@
             self.stream_us, self.owed_us = self.stream_us * 0.7, self.owed_us * 0.7
             self.near, self.mix = [v / 2 for v in self.near], [[v / 2 for v in sums] for sums in self.mix]
             self.read_tokens, self.read_span = self.read_tokens / 2, self.read_span / 2
+            self.asked, self.read_well = self.asked / 2, self.read_well / 2
             for m in self.readers:
                 m.read_us, m.read_tokens = m.read_us / 2, m.read_tokens / 2
 
@@ -395,27 +397,25 @@
             self.out.log(f"suspect {m.id} off: bad {m.bad:.2f}")
 
     def usable(self, m, req):
-        if m.mode != "ready" or m.id in req.tried or not self.cold_allows(m):
+        m.cold = m.started_us > 0 and self.now - m.started_us < self.ramp_us * 1.2
+        if m.mode != "ready" or m.id in req.tried:
             return False
         if m.suspect and not self.modes.get("trouble in common"):
             return self.now >= m.trial_us and not m.waiting and len(req.forwards) < 2
         return True
 
-    def cold_allows(self, m):
-        """Its part of what a just-started server may be sent, by what warm ones serve, in turns: guards
-        against many gateways that each send one; could harm if none had ever been warm."""
-        age = self.now - m.started_us
-        m.cold = m.started_us > 0 and age < self.ramp_us * 1.2
-        if not m.cold:
-            return True
-        if m.budget_for != m.started_us:  # each gateway begins at its own point of a turn
-            m.budget, m.budget_us, m.budget_for = self.chance(), self.now, m.started_us
-        level = self.cold_from + (1 - self.cold_from) * max(0.0, age / (self.ramp_us * 1.2))
-        served, seconds = self.kind_took[m.kind]
-        rate = served / seconds * min(1.0, self.cold_multiple * level * COLD_PART) / 1e6
-        m.budget = min(m.budget + rate * (self.now - m.budget_us), max(1.0, rate * self.cold_window_us))
-        m.budget_us = self.now
-        return m.budget >= 1
+    def turn_of(self, at, cold, shares):
+        """The just-started server that takes this forward, or None: each by its share, an equal one at the
+        most, times the part that the rule lets it be sent. In own reqs and not in time, so that a router that
+        has just started or hears little knows its part too, all add up to it, and nothing is saved for a
+        burst; the less of the reqs is served, the less. Could harm where more is asked than ever served."""
+        served = min(1.0, (self.read_well + self.reads_out + 1) / (self.asked + 1))
+        for m, share in zip(cold, shares):
+            level = self.cold_from + (1 - self.cold_from) * (self.now - m.started_us) / (self.ramp_us * 1.2)
+            at -= share * served * min(1.0, self.cold_multiple * level * COLD_PART)
+            if at < 0:
+                return m
+        return None
 
 
     def on_req(self, rid, tokens, expires, session, prefix, prefix_tokens, _out, _hint, _bits, tenant, group):
@@ -424,7 +424,7 @@
         req = self.reqs[rid] = Req(rid, group, tenant or 0, tokens, self.now, expires, target)
         req.session, req.prefix, req.prefix_tokens = session, prefix, prefix_tokens or 0
         self.mix[group] = [self.mix[group][0] + 1, self.mix[group][1] + tokens]
-        self.spare = min(10.0, self.spare + 0.6)
+        self.spare, self.asked = min(10.0, self.spare + 0.6), self.asked + 1
         if prefix is not None:
             self.heat[prefix] = self.heat.get(prefix, 0) + 1
             if sum(self.heat.values()) > 80:
@@ -436,9 +436,14 @@
     def read(self, req):
         if len(req.forwards) >= self.most_forwards - 1 or self.now + self.margin_us >= req.expires:
             return self.give_up(req)
-        reader, ready_us = self.choose_reader(req)
+        at = self.chance() if self.now < self.cold_until else 1.0  # for both, so that their parts coincide
+        reader, ready_us = self.choose_reader(req, at)
         writers = [w for w in self.writers if self.usable(w, req)]
-        if reader is None or not (reader.writes or writers):
+        if reader and not reader.writes and all(w.cold for w in writers):  # no read that no writer takes
+            req.turn = self.turn_of(at, writers, [1 / len(self.writers) for _ in writers])
+            reader = reader if req.turn else None
+        if reader is None:
+            self.asked -= 1
             return self.give_up(req)
         # Its client may leave before the target: what takes longer is work for nobody.
         patience = req.expires - self.now - self.margin_us
@@ -471,11 +476,13 @@
     def known(self, req, reader):  # prompt tokens that it should still have kept, as far as this router knows
         return max(reader.kept.get(req.session, 0), req.prefix_tokens if req.prefix in reader.kept else 0)
 
-    def choose_reader(self, req):
+    def choose_reader(self, req, at):
         """The reader, and in what time its read should end. The effects rule binds new reads too."""
         usable = [r for r in self.readers if self.usable(r, req) and self.may_forward(req, r)]
-        if not usable:
-            return None, 0
+        cold, usable = [r for r in usable if r.cold], [r for r in usable if not r.cold]
+        turn = self.turn_of(at, cold, [min(self.share[r.id], 1 / len(self.readers)) for r in cold])
+        if turn or not usable:
+            return turn, 0
         drawn = self.draw([(r, self.share[r.id] + (0.3 / len(usable) if r.suspect else 0.0)) for r in usable])
         ends = {}
         for r in usable:
@@ -538,6 +545,15 @@
         if not usable:
             return None
         shares = self.pairs[self.row[req.holder.id]] if req.holder.id in self.row else self.pairs.mean(axis=0)
+        cold, usable = [w for w in usable if w.cold], [w for w in usable if not w.cold]
+        if req.turn in cold:
+            return req.turn
+        # Never more than an equal share of all, however near it is to some readers.
+        most = 1 / len(self.writers) / np.maximum(self.pairs.sum(axis=0), 1e-9)
+        turns = shares / (shares.sum() or 1.0) * np.minimum(1.0, most)
+        turn = cold and self.turn_of(self.chance(), cold, [turns[self.column[w.id]] for w in cold])
+        if turn or not usable:
+            return turn or None
         row = [(w, shares[self.column[w.id]] or 1e-6) for w in usable]
         drawn, best = self.draw(row), max(v for _, v in row)
         near = {w: v for w, v in row if v >= NEAR * best and not w.suspect}
@@ -568,7 +584,6 @@
         if stage != "write":
             machine.out_tokens, self.reads_out = machine.out_tokens + req.fresh, self.reads_out + 1
         machine.waiting[req.id, number] = (self.now, stage == "write")
-        machine.budget -= 1
         if machine.suspect:
             machine.trial_us = self.now + self.pause_us
         self.out.forward(req.id, machine.id, max(MS, req.expires - self.now - self.margin_us))
@@ -610,6 +625,7 @@
                 took, free = self.links.get(holder.cell, (0.0, 0.0))
                 self.links[holder.cell] = took * 0.85 + latency, free * 0.85 + req.tokens * self.transfer[way]
         elif stage == "direct":
+            self.read_well += 1
             self.learn_read(machine, latency, ahead)
             machine.out_tokens, self.reads_out = machine.out_tokens - fresh, self.reads_out - 1
             req.forwards[number][4] = 0
@@ -654,6 +670,7 @@
                     if (remark or 0) < req.prefix_tokens / 2:
                         machine.kept.pop(req.prefix, None)
                     ahead += req.tokens - (remark or 0) - fresh
+                self.read_well += 1
                 self.learn_read(machine, latency, ahead)
         if code not in ("timed_out", "cancelled", "moot"):
             machine.heard_us = self.now
