Ranks by hash are even: crc32 alone gave some readers three times their part of texts

One gateway with few keys does not show it; two hundred that agree fill the same readers. Lines at fault: Router.hash.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -25,6 +25,7 @@
 FULL = 0.8  # told share of memory from which a writer's wait is a queue and no lost answer
 LEARNT_US = 600 * 1000 * MS  # figures of an earlier life older than this are not taken up
 COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
+COLD_HOMES = 2  # a prefix goes to every so many-th cold reader; no one's turns grow by more, whatever is hot
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
 
@@ -128,7 +129,6 @@
             sum(row is not None for row in known), len(self.kinds), sum(us > 0 for us in self.answer_us),
             len(self.groups), len(boxes))
 
-
     def round(self, now_us, events, out):
         self.now, self.out = now_us, out
         for name, *fields in events:
@@ -142,7 +142,6 @@
             self.modes[name] = on
             self.out.log(f"{name} {'on' if on else 'off'}: {text}")
 
-
     def on_servers(self, kind, rows):
         self.subscribed = kind in ("update", "replace")
         if kind == "unavailable":
@@ -404,20 +403,26 @@
             return self.now >= m.trial_us and not m.waiting and len(req.forwards) < 2
         return True
 
-    def turn_of(self, at, cold, shares):
+    def turn_of(self, at, cold, shares, key=None):
         """The just-started server that takes this forward, or None: each by its share, an equal one at the
         most, times the part that the rule lets it be sent. In own reqs and not in time, so that a router that
         has just started or hears little knows its part too, all add up to it, and nothing is saved for a
         burst; the less of the reqs is served, the less. Could harm where more is asked than ever served."""
         served = min(1.0, (self.read_well + self.reads_out + 1) / (self.asked + 1))
+        parts = []
         for m, share in zip(cold, shares):
             level = self.cold_from + (1 - self.cold_from) * (self.now - m.started_us) / (self.ramp_us * 1.2)
-            at -= share * served * min(1.0, self.cold_multiple * level * COLD_PART)
+            parts.append((m, share * served * min(1.0, self.cold_multiple * level * COLD_PART)))
+        if key is not None and len(parts) > 2:  # most work there is text that it has not kept
+            parts.sort(key=lambda p: -log(1 - self.hash(key, p[0])) / max(p[1], 1e-9))
+            homes, whole = ceil(len(parts) / COLD_HOMES), sum(part for _, part in parts)
+            parts = [(m, min(whole / homes, COLD_HOMES * part)) for m, part in parts[:homes]]
+        for m, part in parts:
+            at -= part
             if at < 0:
                 return m
         return None
 
-
     def on_req(self, rid, tokens, expires, session, prefix, prefix_tokens, _out, _hint, _bits, tenant, group):
         g = self.groups[group]
         target = self.now + g.target_us + g.target_per_1000_us * tokens // 1000
@@ -480,7 +485,8 @@
         """The reader, and in what time its read should end. The effects rule binds new reads too."""
         usable = [r for r in self.readers if self.usable(r, req) and self.may_forward(req, r)]
         cold, usable = [r for r in usable if r.cold], [r for r in usable if not r.cold]
-        turn = self.turn_of(at, cold, [min(self.share[r.id], 1 / len(self.readers)) for r in cold])
+        key = req.prefix if req.prefix is not None else req.session
+        turn = self.turn_of(at, cold, [min(self.share[r.id], 1 / len(self.readers)) for r in cold], key)
         if turn or not usable:
             return turn, 0
         drawn = self.draw([(r, self.share[r.id] + (0.3 / len(usable) if r.suspect else 0.0)) for r in usable])
@@ -496,7 +502,6 @@
         share = self.share[drawn.id]  # the best or near it; mixed servers have shares of their own
         near = [r for r in usable if NEAR * share <= self.share[r.id] <= share / NEAR and not r.suspect]
         home = max(fit, key=lambda r: r.kept.get(req.session, 0), default=drawn)
-        key = req.prefix if req.prefix is not None else req.session
         if req.session in home.kept and home in fit:
             drawn = home
         elif near and key is not None:
@@ -524,8 +529,9 @@
         kind = us / tokens if tokens else self.start_cost
         return (r.read_us + 1000 * kind) / (r.read_tokens + 1000)
 
-    def hash(self, key, r):
-        return crc32(f"{key}/{r.id}".encode()) / 4294967296.0
+    def hash(self, key, r):  # squared: crc32 is linear, and ranks by it alone favour the same servers for all
+        h = crc32(f"{key}/{r.id}".encode())
+        return h * h % 4294967291 / 4294967291
 
     def chance(self):
         self.draws += 1
@@ -535,7 +541,6 @@
         sums = list(accumulate(weight for _, weight in weighted))
         return weighted[min(bisect_left(sums, self.chance() * sums[-1]), len(sums) - 1)][0]
 
-
     def write(self, req):
         writer = self.choose_writer(req) if len(req.forwards) < self.most_forwards else None
         self.send(req, writer, "write") if writer else self.give_up(req)
@@ -597,7 +602,6 @@
             self.out.abort(req.id)
         self.let_go(req)
 
-
     def on_first(self, rid, server, latency, number):
         req = self.reqs.get(rid)
         if req is None or number >= len(req.forwards):
