A list row that can't be read costs that one alone

Lines at fault: Rows.row raising for the list, Targets decoding all rows in one piece. Now each row is read by itself; the server of one that can't be read gets nothing new, one bounded line tells of it, and after a change that can't be read the whole list is asked for. Tests (fail without it): six kinds of bad rows, a change without a name, and lists of 1,100 servers at 1,100 gateways taken, changed and replaced in bounded time.

--- a/lapiswing/node/discovery.py
+++ b/lapiswing/node/discovery.py
@@ -23,21 +23,28 @@
     since_ms: float = 0
 
 
+class Named(msgspec.Struct):
+    """What must be readable of a row to tell whose it is."""
+    name: str
+
+
 class Targets(msgspec.Struct):
     index: int
     snapshot: bool
-    endpoints: list[Endpoint]
+    endpoints: list[msgspec.Raw]  # each read by itself, so that one that can't be read costs that one alone
 
 
 DECODER = msgspec.json.Decoder(Targets)
+ROW, NAME = msgspec.json.Decoder(Endpoint), msgspec.json.Decoder(Named)
 
 
 class Rows:
-    """The list as it stands, by name. `take` raises ValueError and then changes nothing."""
+    """The list as it stands, by name. `take` raises ValueError where no row can be read, and then changes nothing. A
+    server whose own row can't be read gets nothing new, as if it had left: it may be draining. `faults` tells of them."""
 
     def __init__(self, kinds, zones, started_us):
         self.kinds, self.zones, self.started_us = kinds, zones, started_us
-        self.index, self.rows, self.addresses = None, {}, {}
+        self.index, self.rows, self.addresses, self.faults, self.told = None, {}, {}, [], []
 
     def row(self, e):
         if e.type not in self.kinds:
@@ -49,18 +56,41 @@
                       MODES[e.status])
 
     def take(self, targets):
-        rows = [self.row(e) for e in targets.endpoints]
-        addresses = {e.name: address_of(e.address) for e in targets.endpoints}
+        rows, addresses, lost, faults = [], {}, [], []
+        for raw in targets.endpoints:
+            try:
+                endpoint = ROW.decode(raw)
+                row, address = self.row(endpoint), address_of(endpoint.address)
+            except (ValueError, OverflowError, msgspec.MsgspecError) as problem:
+                faults.append(f"{problem} in {bytes(raw)[:120]!r}")
+                try:
+                    lost.append(NAME.decode(raw).name)
+                except msgspec.MsgspecError:
+                    pass  # it is not told whose row it is
+                continue
+            rows.append(row)
+            addresses[row.id] = address
+        if faults and not rows and targets.snapshot:
+            raise ValueError(faults[0])
+        self.faults = faults
         if targets.snapshot:
             self.rows, self.addresses = {}, {}
         for row in rows:
             if row.mode == "gone":
-                self.rows.pop(row.id, None)
-                self.addresses.pop(row.id, None)
+                lost.append(row.id)
             else:
                 self.rows[row.id], self.addresses[row.id] = row, addresses[row.id]
+        for name in lost:
+            self.rows.pop(name, None)
+            self.addresses.pop(name, None)
         self.index = targets.index
 
+    def tell(self, log):
+        """Of the last list's faults, if they are new."""
+        if self.faults and self.faults != self.told:
+            log.warning("rows can't be read", count=len(self.faults), first=self.faults[0][:300])
+        self.told = self.faults
+
 
 class Discovery:
     def __init__(self, loop, pool, address, rows, on_rows, log):
@@ -116,7 +146,9 @@
         if self.silent:
             self.silent = False
             self.log.info("discovery heard", boxes=len(self.rows.rows))
-        self.whole = False
+        # A change that can't be read may be of any server: the whole list then tells of it, or names it no more.
+        self.whole = bool(self.rows.faults) and not targets.snapshot
+        self.rows.tell(self.log)
         if targets.snapshot or targets.endpoints:
             self.on_rows()
         self.ask()
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -141,6 +141,7 @@
             self.rows.take(DECODER.decode(msgspec.json.encode(self.config.known)))
         except (ValueError, msgspec.MsgspecError) as problem:
             return self.log.warning("known list can't be read", why=str(problem))
+        self.rows.tell(self.log)
         self.on_rows()
 
     def on_rows(self):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,18 +5,21 @@
 import signal
 import subprocess
 import sys
+import time
 import weakref
 
 import pytest
-from platform_door import BODY, SETTINGS, Door, head
+from platform_door import BODY, SETTINGS, Door, Quiet, head
 
 from lapiswing.gateway import core as core_module
 from lapiswing.loop import address_of, free_ports
 from lapiswing.loop.stream import Stream
+from lapiswing.membership import Membership
 from lapiswing.node import serve as node_serve
 from lapiswing.node import servers as node_servers
 from lapiswing.node import view
-from lapiswing.node.config import load
+from lapiswing.node.config import checked, load
+from lapiswing.node.discovery import DECODER, Rows
 from lapiswing.node.outcomes import load_of, of_failure, of_status
 from lapiswing.policy import Router
 from lapiswing.standin.platform import Discovery
@@ -547,3 +550,77 @@
         assert door.node.listener.refused == 0  # each was answered
         for client in crowd:
             client.close()
+
+
+def rows_of(*endpoints, index=5, snapshot=True):
+    return DECODER.decode(json.dumps({"index": index, "snapshot": snapshot, "endpoints": endpoints}).encode())
+
+
+def endpoint(name, status="SERVING", **more):
+    return {"name": name, "address": "127.0.0.1:9000", "zone": "a", "type": "read", "group": 1, "status": status,
+            "weight": 1.0, "since_ms": 0, **more}
+
+
+@pytest.mark.parametrize("bad", [
+    endpoint("bad", status="SLEEPING"), endpoint("bad", type="m9"), endpoint("bad", address="nowhere"),
+    endpoint("bad", group="x"), endpoint("bad", since_ms="today"), {"name": "bad"}])
+def test_a_row_that_can_not_be_read_costs_that_one_alone(bad):
+    """The others of the list stand as told; a server whose own row can't be read gets nothing new."""
+    rows, log = Rows(["read"], ["a"], int), Quiet()
+    rows.take(rows_of(endpoint("s-1"), endpoint("bad"), endpoint("s-2")))
+    rows.take(rows_of(bad, endpoint("s-2", status="DRAINING"), endpoint("s-3"), index=6, snapshot=False))
+    assert {name: row.mode for name, row in rows.rows.items()} == {"s-1": "ready", "s-2": "draining", "s-3": "ready"}
+    rows.tell(log)
+    rows.take(rows_of(bad, endpoint("s-1"), index=7))
+    rows.tell(log)
+    assert list(rows.rows) == ["s-1"] and len(log.lines) == 1 and log.lines[0][1]["count"] == 1
+    with pytest.raises(ValueError):
+        rows.take(rows_of(bad, index=8))
+    assert list(rows.rows) == ["s-1"] and rows.index == 7
+
+
+def test_a_change_without_a_name_asks_for_the_whole_list(tmp_path):
+    with Door(tmp_path) as door:
+        discovery, asked = door.node.discovery, []
+        discovery.pool.request = lambda address, method, target, *rest: asked.append(target) or Still()
+        for body in (b'{"index":90,"snapshot":false,"endpoints":[7]}', b'{"index":91,"snapshot":true,"endpoints":[7,'
+                     + json.dumps(endpoint("s-9")).encode() + b"]}"):
+            discovery.answered(discovery.call, 200, body)
+        assert asked == [b"/api/targets", b"/api/targets?after=91&wait_ms=2000"]
+
+
+class Still:
+    def cancel(self):
+        pass
+
+
+def test_lists_of_1100_servers_and_1100_gateways_are_taken_changed_and_replaced():
+    """No cap below 1,024 on either, in bounded time."""
+    rows, members, out = Rows(["read", "write", "both"], ["a", "b"], int), Membership(), Sent()
+    router = Router(7, checked("config.json", {**SETTINGS, "Balancers": 1100}), 0)
+
+    def some(first, many, **more):
+        return [endpoint(f"s-{n}", type=("read", "write", "both", "write")[n % 4], zone="ab"[n % 2], group=n // 6,
+                         address=f"127.0.0.1:{n + 1}", **more) for n in range(first, first + many)]
+    for step, (endpoints, snapshot) in enumerate([
+            (some(0, 1100), True), (some(0, 40, status="DRAINING"), False), (some(2000, 1100), True)]):
+        now, before = (step + 1) * S, time.process_time()
+        rows.take(rows_of(*endpoints, index=step, snapshot=snapshot))
+        router.round(now, [members.list(list(rows.rows.values()), now)], out)
+        for n in range(3):
+            router.round(now, [("req", f"{step}.{n}", 900, now + 5 * S, f"k{n}", None, 0, 200, None, 0, 0, 0)], out)
+        assert sum(m.mode == "ready" for m in router.machines.values()) == (1100, 1060, 1100)[step]
+        assert time.process_time() - before < (20 if step == 0 else 5)
+    assert [int(s[2:]) >= 2000 for s in out.to] == [False] * 6 + [True] * 3
+    assert all(int(s[2:]) >= 40 for s in out.to[3:])
+
+
+class Sent:
+    def __init__(self):
+        self.to = []
+
+    def forward(self, rid, server, timeout_us):
+        self.to.append(server)
+
+    def __getattr__(self, name):
+        return lambda *args: None
