--- a/lapiswing/node/discovery.py
+++ b/lapiswing/node/discovery.py
@@ -39,8 +39,9 @@
 
 
 class Rows:
-    """The list as it stands, by name. `take` raises ValueError where no row can be read, and then changes nothing. A
-    server whose own row can't be read gets nothing new, as if it had left: it may be draining. `faults` tells of them."""
+    """The list as it stands, by name. `take` raises ValueError where no row can be read, and then changes
+    nothing. A server whose own row can't be read gets nothing new, as if it had left: it may be draining.
+    `faults` tells of such rows."""
 
     def __init__(self, kinds, zones, started_us):
         self.kinds, self.zones, self.started_us = kinds, zones, started_us
@@ -146,7 +147,7 @@
         if self.silent:
             self.silent = False
             self.log.info("discovery heard", boxes=len(self.rows.rows))
-        # A change that can't be read may be of any server: the whole list then tells of it, or names it no more.
+        # A change that can't be read may be of any server: the whole list tells of it, or names it no more.
         self.whole = bool(self.rows.faults) and not targets.snapshot
         self.rows.tell(self.log)
         if targets.snapshot or targets.endpoints:
