Releases go to who can be reached, several at once while none answers

Ruled out: servers that refuse (answered at once), releases not sent.

At fault: Release.send in node/servers.py told one server after another, sorted by name, whatever was heard of them.

Changed: reach.py keeps who was heard and who was silent; a release goes to the holder unless that is silent, then after each eighth of the time that the settings give to one, two, four more, zone by zone.

--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -16,6 +16,7 @@
 from lapiswing.node import view
 from lapiswing.node.discovery import DECODER, Discovery, Rows
 from lapiswing.node.front import Front
+from lapiswing.node.reach import Reach
 from lapiswing.node.servers import MOST, Servers
 from lapiswing.policy import Router
 
@@ -100,7 +101,9 @@
         self.asking = Pool(self.loop, 2, 1, 60_000 * MS, 1000 * MS)
         self.offset_us = self.loop.clock.now_us() - time.time_ns() // 1000
         report = settings.get("report") or {}
-        self.servers = Servers(self.loop, self.pool, report.get("names") or [], bool(report.get("names")))
+        self.servers = Servers(
+            self.loop, self.pool, report.get("names") or [], bool(report.get("names")),
+            Reach(settings.get("az", 0), int(self.config.seed, 16)), settings["family_info"].get("let_go_by_us"))
         margin_us = settings.get("resolution_us") or MS
         self.core = Core(
             self.loop, self.servers, Membership(), Repeats(1, 1),
@@ -145,7 +148,7 @@
         self.on_rows()
 
     def on_rows(self):
-        self.servers.addresses = self.rows.addresses
+        self.servers.listed(self.rows.addresses, {name: row.zone for name, row in self.rows.rows.items()})
         self.core.list_boxes(list(self.rows.rows.values()))
 
     # ---- signals
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -6,6 +6,7 @@
 
 from lapiswing.engine.forward import Exchanged
 from lapiswing.http1.wire import get
+from lapiswing.node import reach
 from lapiswing.node.names import DEADLINE, DECLINED, HEALTHY, ID, LOAD, LOAD_LINE, LOADED, ROOMS
 from lapiswing.node.outcomes import load_of, of_failure, of_status
 
@@ -14,8 +15,8 @@
 EVENT = 65536  # bytes of one event
 STALL_US = 3000 * MS  # the rest of a begun chunk is on its way; one that takes longer is no chunk
 SETTLE_US = 20 * MS  # what was sent before a release has arrived by then
-RELEASE_US = 100 * MS  # an answer to a release, before it goes to another server
-RELEASES = 8
+LET_GO_US = 500 * MS  # where the settings name no time for it
+WAVES = 2 * reach.PARTS  # what no server has heard by twice that time is given up
 PROBE_US = 250 * MS
 
 
@@ -34,9 +35,9 @@
 class Forward(Exchanged):
     """One forward that is out."""
 
-    def __init__(self, servers, owner, name):
+    def __init__(self, servers, owner, server, name):
         super().__init__(owner)
-        self.servers, self.name, self.begun = servers, name, False
+        self.servers, self.server, self.name, self.begun = servers, server, name, False
         self.status = self.timer = self.params = self.cached = self.answer = None
         self.size, self.parts, self.rest = 0, [], b""
 
@@ -52,6 +53,7 @@
     # handler of the exchange
 
     def on_head(self, status, fields):
+        self.servers.heard(self.server)
         self.status = status
         self.report = load_of(get(fields, LOAD), self.servers.load_names)
         self.code, self.remark = of_status(status, get(fields, DECLINED) == b"1")
@@ -153,24 +155,35 @@
         self.finish(self.code)
 
     def on_fail(self, stage, why):
+        if stage == "connect":
+            self.servers.silent(self.server)
         proved = self.code == "full" and stage == "body"  # the head has proved it
         self.finish("full" if proved else of_failure(stage))
 
 
 class Small:
-    """A call without a body. `done(code, status, report, body)`, once."""
+    """A call without a body, to a server of the list. `done(code, status, report, body)`, once."""
 
-    def __init__(self, servers, address, method, target, timeout_us, done):
-        self.done, self.servers = done, servers
+    def __init__(self, servers, server, method, target, timeout_us, done):
+        self.done, self.servers, self.server = done, servers, server
         self.status, self.report, self.parts, self.size = None, None, [], 0
         self.timer = servers.loop.call_later(timeout_us, self.late)
-        self.exchange = servers.pool.request(address, method, target, [], b"", self)
+        self.exchange = servers.pool.request(servers.addresses[server], method, target, [], b"", self)
 
     def late(self):
         self.exchange.cancel()
+        self.servers.silent(self.server)
         self.tell("timed_out")
 
+    def cancel(self):
+        """Nobody waits for it any more; nothing is told."""
+        if self.done:
+            self.exchange.cancel()
+            self.timer.cancel()
+            self.done = self.exchange = None
+
     def on_head(self, status, fields):
+        self.servers.heard(self.server)
         self.status, self.report = status, load_of(get(fields, LOAD), self.servers.load_names)
 
     def on_body(self, data):
@@ -182,6 +195,8 @@
         self.tell("done")
 
     def on_fail(self, stage, why):
+        if stage == "connect":
+            self.servers.silent(self.server)
         self.tell(of_failure(stage))
 
     def tell(self, code):
@@ -192,56 +207,83 @@
 
 
 class Release:
-    """Lets go of all that is held for a req. The one that holds it is told first; where it does not answer any
-    other server will do, since each of them passes it on: the rule is kept though a machine is cut off."""
+    """Lets go of all that is held for a req. Any server that runs will do, since each of them passes it on; `reach`
+    knows whom to try first and how many more while none answers. What was sent and not answered may have arrived."""
 
     def __init__(self, servers, server, name):
-        self.servers, self.target, self.tries = servers, ROOMS + name, RELEASES
-        self.line = [server]
+        self.servers, self.holder, self.target = servers, server, ROOMS + name
+        self.tried, self.out, self.wave, self.timer = set(), [], 0, None
         servers.releasing += 1
-        servers.loop.call_later(SETTLE_US, self.send)
+        servers.loop.call_later(SETTLE_US, self.go)
 
-    def send(self):
-        self.tries -= 1
-        if self.tries < 0:
+    def go(self):
+        if self.wave == WAVES or not self.servers.addresses:
             return self.end()
-        if not self.line:
-            self.line = self.servers.order()
-        address = self.servers.addresses.get(self.line.pop(0)) if self.line else None
-        if address is None:
-            if not self.line and not self.servers.addresses:
-                return self.end()
-            return self.servers.loop.soon(self.send)
-        Small(self.servers, address, b"DELETE", self.target, RELEASE_US, self.answered)
+        self.timer = self.servers.loop.call_later(self.servers.let_go_us // reach.PARTS, self.go)
+        for small in self.out[-reach.AT_ONCE:]:
+            if small.done:
+                self.servers.silent(small.server)
+        for _ in range(reach.more_at(self.wave)):
+            self.send()
+        self.wave += 1
+
+    def send(self):
+        servers = self.servers
+        line = [n for n in servers.reach.order(self.holder) if n in servers.addresses]
+        server = next((n for n in line if n not in self.tried), None)
+        if server is None:  # all were tried; some may be back
+            self.tried.clear()
+            server = line[0]
+        self.tried.add(server)
+        small = Small(servers, server, b"DELETE", self.target, servers.let_go_us // 2, self.answered)
+        self.out.append(small)
 
     def answered(self, code, status, _report, _body):
+        if self.timer is None:
+            return
         if code == "done" and status < 500:
             return self.end()
-        self.servers.loop.soon(self.send)
+        if code != "timed_out":  # refused or broken: another one at once, within this part's number
+            self.servers.loop.soon(self.again)
+
+    def again(self):
+        if self.timer is not None and self.servers.addresses and len(self.tried) < len(self.servers.addresses):
+            self.send()
 
     def end(self):
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = None
+        for small in self.out:
+            small.cancel()
         self.servers.releasing -= 1
 
 
 class Servers:
     by_req = True  # what is held has its req's name
 
-    def __init__(self, loop, pool, load_names, reports):
+    def __init__(self, loop, pool, load_names, reports, whom, let_go_us=None):
+        """`whom`: a Reach. `let_go_us`: the time there is to let go of what is held."""
         self.loop, self.pool, self.load_names, self.reports = loop, pool, set(load_names), reports
-        self.addresses, self.releasing, self.turn = {}, 0, 0
+        self.addresses, self.releasing, self.reach = {}, 0, whom
+        self.let_go_us = let_go_us or LET_GO_US
+
+    def listed(self, addresses, zones):
+        """The list as it stands, by name."""
+        self.addresses = addresses
+        self.reach.listed(zones)
+
+    def heard(self, server):
+        self.reach.heard(server, self.loop.clock.now_us())
 
-    def order(self):
-        """All servers, beginning at another one each time."""
-        names = sorted(self.addresses)
-        self.turn += 1
-        at = self.turn % max(1, len(names))
-        return names[at:] + names[:at]
+    def silent(self, server):
+        self.reach.silent(server, self.loop.clock.now_us())
 
     def name(self, gateway, rid, number=None):
         return rid.encode()
 
     def forward(self, owner, server, stage, raw, params, name, key, fresh, read_us=None, within_us=None):
-        forward = Forward(self, owner, name)
+        forward = Forward(self, owner, server, name)
         fields = [(ID, raw.rid), (DEADLINE, b"%.3f" % (max(0, within_us or 0) / 1e6)),
                   (b"content-type", b"application/json")]
         address = self.addresses.get(server)
@@ -256,25 +298,23 @@
         Release(self, server, name)
 
     def hold(self, server, name, tokens, done):
-        address = self.addresses.get(server)
-        if address is None:
+        if server not in self.addresses:
             return self.loop.soon(done, False)
 
         def told(code, status, _report, _body):
             refused = code == "unreachable" or code == "done" and status in (404, 409)
             done(True if code == "done" and status == 200 else False if refused else None)
-        Small(self, address, b"POST", ROOMS + name, 1000 * MS, told)
+        Small(self, server, b"POST", ROOMS + name, 1000 * MS, told)
 
     def probe(self, server, done):
-        address = self.addresses.get(server)
-        if address is None:
+        if server not in self.addresses:
             return self.loop.soon(done, "unreachable", None)
 
         def told(code, status, report, body):
             good = code == "done" and status == 200
             done("done" if good else "error" if code == "done" else code,
                  report or (load_of(body, self.load_names) if good and self.reports else None))
-        Small(self, address, b"GET", LOADED if self.reports else HEALTHY, PROBE_US, told)
+        Small(self, server, b"GET", LOADED if self.reports else HEALTHY, PROBE_US, told)
 
 
 class Nowhere:
