Connections that do not come up use no more than the time to let go

Request (n116): its read ended at 16.469 s, then five writes in a row were unreachable after 250 ms each, the release was out at 17.748 s.

At fault: next_step in policy.py, which went on with the next server as long as forwards were left, and the pool, which gave each connection its whole 250 ms. A forward whose connection does not come up is not out.

Changed: once something may be held, `forward` says by when its connection has to be up: three quarters of the settings' time to let go, from the last forward that was out. What has not come up by then is given up and let go.

--- a/lapiswing/benchlink/wire.py
+++ b/lapiswing/benchlink/wire.py
@@ -80,7 +80,7 @@
     def put(self, name, **args):
         self.lines.append(orjson.dumps({"t": name, "GatewayId": self.gateway, **args}))
 
-    def forward(self, req, server, timeout_us):
+    def forward(self, req, server, timeout_us, _up_us):
         self.put("Forward", Req=req, Server=server, GiveUpAfterMs=timeout_us / 1000)
 
     def hold_place(self, req, server):
--- a/lapiswing/engine/client.py
+++ b/lapiswing/engine/client.py
@@ -232,7 +232,8 @@
     def name(self, gateway, rid, number=None):
         return (f"{gateway}.{rid}" if number is None else f"{gateway}.{rid}.{number}").encode()
 
-    def forward(self, owner, server, stage, raw, params, name, key, fresh, read_us=None, within_us=None):
+    def forward(self, owner, server, stage, raw, params, name, key, fresh, read_us=None, within_us=None,
+                up_us=None):
         """Sends `raw` (the client's call) as a read, a write of the state that `params` name, or, directly, both. `read_us`:
         how long the read of that state took; its writer weighs it against a move that goes badly."""
         forward = Forward(owner, server, stage, self.event_bytes)
@@ -244,7 +245,7 @@
             fields.append((b"x-read-ms", b"%d" % (read_us // 1000)))
         forward.name = name
         forward.exchange = self.pool.request(address_of(server), b"POST", CHAT, fields, orjson.dumps(body), forward,
-                                             fresh)
+                                             fresh, up_us)
         return forward
 
     def release(self, server, name):
--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -258,7 +258,7 @@
 
     # the writer that the module is given
 
-    def forward(self, rid, server, timeout_us):
+    def forward(self, rid, server, timeout_us, up_us=None):
         req = self.reqs.get(rid)
         if req is None or req.over:
             self.events.append(("outcome", rid, req.sends if req else 0, server, "moot", 0, True, None, None))
@@ -291,7 +291,8 @@
             if spec.entry is not None and stage != "read":
                 self.repeats.sent(spec.entry, self.loop.clock.now_us())
             out.forward = self.engine.forward(owner, server, stage, req.raw, params, name, key, fresh, read_us,
-                                              out.timer.due_us - self.loop.clock.now_us())
+                                              out.timer.due_us - self.loop.clock.now_us(),
+                                              None if up_us is None else now + up_us - self.loop.clock.now_us())
         if stage == "read" or spec.entry is None:
             send()
         else:
--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -20,6 +20,7 @@
     def __init__(self, pool, address, head, body, handler):
         self.pool, self.address, self.handler = pool, address, handler
         self.data, self.size = [head, body], len(head) + len(body)
+        self.connect_us = pool.connect_us
         self.conn = self.connecting = None
         self.over = self.got_head = False
 
@@ -216,14 +217,17 @@
         self.opened = self.reused = 0
         self.sweep_timer = loop.call_later(1_000_000, self.sweep)
 
-    def request(self, address, method, target, fields, body, handler, fresh=False):
+    def request(self, address, method, target, fields, body, handler, fresh=False, up_us=None):
         """`address` is (host, port), or a Unix socket's path. With `fresh` no kept connection is used: the answer to a request on a kept one
-        that the server closes in the same instant is lost, though it may have run."""
+        that the server closes in the same instant is lost, though it may have run. `up_us`: less time for a new connection
+        than usual."""
         host = b"localhost" if isinstance(address, str) else b"%b:%d" % (address[0].encode(), address[1])
         fields = [(b"host", host), *fields]
         if body or method == b"POST":
             fields.append((b"content-length", b"%d" % len(body)))
         exchange = ClientExchange(self, address, request_head(method, target, fields), body, handler)
+        if up_us is not None:
+            exchange.connect_us = min(self.connect_us, up_us)
         conn = None if fresh else self.rested(address)
         if conn is not None:
             self.reused += 1
@@ -274,7 +278,7 @@
             self.all.add(conn)
             conn.start(exchange)
 
-        exchange.connecting = connect(self.loop, address, self.connect_us, done)
+        exchange.connecting = connect(self.loop, address, exchange.connect_us, done)
 
     def dropped(self, address):
         self.count[address] -= 1
--- a/lapiswing/interface.py
+++ b/lapiswing/interface.py
@@ -14,6 +14,8 @@
 A report is a dict of figures; `queue` (reqs waiting) and `held` (share of memory held) are read.
 A host may keep `router.learnt()` and give it with its age to the next life's `take_up`, before the first list.
 
+A forward's connection has to be up within `up_us` and the host's own bound, else its outcome is unreachable.
+
 Outcome codes: done, read, error, full, timed_out, unreachable, reset, cancelled, moot.
 Times are whole microseconds; ids are passed through unchanged.
 """
@@ -43,7 +45,7 @@
 
 
 class Writer(Protocol):
-    def forward(self, req, server, timeout_us): ...
+    def forward(self, req, server, timeout_us, up_us): ...
     def hold_place(self, req, server): ...
     def release(self, req): ...
     def retract(self, req, forward_no): ...
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -282,7 +282,8 @@
     def name(self, gateway, rid, number=None):
         return rid.encode()
 
-    def forward(self, owner, server, stage, raw, params, name, key, fresh, read_us=None, within_us=None):
+    def forward(self, owner, server, stage, raw, params, name, key, fresh, read_us=None, within_us=None,
+                up_us=None):
         forward = Forward(self, owner, server, name)
         fields = [(ID, raw.rid), (DEADLINE, b"%.3f" % (max(0, within_us or 0) / 1e6)),
                   (b"content-type", b"application/json")]
@@ -291,7 +292,7 @@
             forward.exchange = Nowhere(self.loop, forward)
         else:
             forward.exchange = self.pool.request(address, raw.method, raw.target, fields, raw.body, forward,
-                                                 fresh)
+                                                 fresh, up_us)
         return forward
 
     def release(self, server, name):
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -25,6 +25,7 @@
 FULL = 0.8  # told share of memory from which a writer's wait is a queue and no lost answer
 LEARNT_US = 600 * 1000 * MS  # figures of an earlier life older than this are not taken up
 COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
+UP_PART = 0.75  # of the time to let go: connections that do not come up may use it, the rest is the release's
 COLD_HOMES = 2  # a prefix goes to every so many-th cold reader; no one's turns grow by more, whatever is hot
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
@@ -55,6 +56,7 @@
     def __init__(self, rid, group, tenant, tokens, now, expires, target):
         self.id, self.group, self.tenant, self.tokens = rid, group, tenant, tokens
         self.arrived, self.expires, self.target = now, expires, target
+        self.up_by = expires  # the next forward's connection; what may be held has to be let go else
         self.forwards, self.out, self.tried = [], 0, set()  # out: how many have no outcome yet
         self.holder = self.begun = self.turn = None  # turn: a cold writer that will take it
         self.ran, self.fresh, self.closed, self.over = [], tokens, False, False  # ran: forwards that may have
@@ -72,9 +74,9 @@
         self.come_back_us = limits.get("max_retry_after_us", 0) if limits.get("retry_after") else 0
         # A prompt token's read cost until one is heard: what the response target allows it.
         self.start_cost = max([g.target_per_1000_us / 1000 for g in self.groups] + [0.0]) or 50.0
-        self.margin_us = settings.get("resolution_us", MS)
+        self.margin_us, self.cold_multiple = settings.get("resolution_us", MS), rules["fall_multiple"]
         self.cold_from, self.cold_us = rules["cold_from"], rules["ramp_time_us"] * 1.2
-        self.cold_multiple = rules["fall_multiple"]
+        self.up_us = int((family.get("let_go_by_us") or 500 * MS) * UP_PART)
         self.asks = settings.get("membership_mode") == "subscribe"
         self.quota = [t.get("quota_rps", 0) / self.gateways for t in settings.get("tenants") or []]
         self.quota_left, self.machines, self.reqs, self.expect = [2 * q for q in self.quota], {}, {}, {}
@@ -84,19 +86,18 @@
         self.reads, self.waits = np.zeros((2, 0, len(MIDDLES)))  # bins of reads; of waits for a writer
         # Served since the last refresh and a second on average; stream time, what it should be; open streams.
         self.taken, self.took, self.stream_us, self.owed_us, self.begun = np.zeros((5, 0))
-        self.transfer = [0.0] * 3  # a token's cost: same cell, same zone, other
-        self.near = [0.0] * 5  # sums for the slope inside a cell
+        # A move's cost a token: same cell, same zone, other; sums for its slope inside a cell.
+        self.transfer, self.near = [0.0] * 3, [0.0] * 5
         self.links = {}  # by reader's cell: time of moves that left it, what they take on a free link
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
         self.kind_took = [[0.0, 1.0] for _ in self.kinds]  # served by warm servers of a kind, their seconds
         self.kind_cost = [[0.0, 0.0] for _ in self.kinds]  # read time and tokens lately
-        self.heat = {}  # reqs by prefix
+        self.heat, self.spare = {}, 10.0  # reqs by prefix; further forwards that may be sent
         self.read_tokens, self.read_span, self.reads_out, self.subscribed = 0.0, MS, 0, True
         self.asked = self.read_well = 0.0  # lately: reqs, less those without a turn; reads that ended well
         self.news, self.timer, self.moved_us, self.halved_us = 0, False, 0, now_us
         self.seen, self.ask_us, self.failing = 0, 0, 0.0  # outcomes since halving; part that fail
         self.answer_us = [0.0] * len(self.groups)  # answer length, as time
-        self.spare = 10.0
         self.read_mean, self.wait_mean, self.modes, self.now, self.pause_us = 0.0, 0.0, {}, now_us, 1000 * MS
         self.names, self.carried = settings.get("kinds") or [], {}  # of kinds; boxes of an earlier life
 
@@ -117,21 +118,18 @@
         TypeError or LookupError on what can't be read, and then nothing is taken up."""
         if not 0 <= age_us <= LEARNT_US:
             return f"nothing taken up: {age_us // (1000 * MS)} s old"
-        numbers = [x for rows in learnt.values() for row in rows for x in row if not isinstance(x, str)]
-        if not all(0 <= x < 1 << 62 for x in numbers):
+        if not all(type(x) is str or 0 <= x < 1 << 62 for v in learnt.values() for row in v for x in row):
             raise ValueError("a figure is out of range")
         groups = {name: float(us) for name, us in learnt["groups"]}
-        kinds = {(name, role): (float(us), float(tokens), float(rps))
-                 for name, role, us, tokens, rps in learnt["kinds"]}
+        kinds = {(name, role): [*map(float, (us, of, rps))] for name, role, us, of, rps in learnt["kinds"]}
         boxes = {box: (int(started), min(1.0, bad), float(us), float(tokens))
                  for box, started, bad, us, tokens in learnt["boxes"]}
         self.answer_us, self.carried = [groups.get(g.name, 0.0) for g in self.groups], boxes
         known = [kinds.get((name, role)) for name, (role, _) in zip(self.names, self.kinds)]
         for i, (us, tokens, rps) in [(i, row) for i, row in enumerate(known) if row]:
             self.kind_cost[i], self.kind_took[i] = [us, tokens], [rps / self.gateways, 1.0]
-        return "taken up: %d of %d kinds, %d of %d groups, %d boxes" % (
-            sum(row is not None for row in known), len(self.kinds), sum(us > 0 for us in self.answer_us),
-            len(self.groups), len(boxes))
+        return "taken up: %d of %d kinds, %d of %d groups, %d boxes" % (len(known) - known.count(None), len(
+            self.kinds), sum(us > 0 for us in self.answer_us), len(self.groups), len(boxes))
 
     def round(self, now_us, events, out):
         self.now, self.out = now_us, out
@@ -347,8 +345,7 @@
                 if b == w or score[b] - score[w] < 0.005:
                     break
                 step = min(STEP * equal, flat[w] - FLOOR * equal * 0.9)
-                flat[w] -= step
-                flat[b] += step
+                flat[w], flat[b] = flat[w] - step, flat[b] + step
         self.share = dict(zip(self.row, np.maximum(self.pairs.sum(axis=1), 1e-9).tolist()))
 
     def look_for_silence(self):
@@ -401,11 +398,9 @@
 
     def usable(self, m, req):
         m.cold = m.started_us > 0 and self.now - m.started_us < self.cold_us
-        if m.mode != "ready" or m.id in req.tried:
-            return False
-        if m.suspect and not self.modes.get("trouble in common"):
-            return self.now >= m.trial_us and not m.waiting and len(req.forwards) < 2
-        return True
+        trial = self.now >= m.trial_us and not m.waiting and len(req.forwards) < 2
+        return m.mode == "ready" and m.id not in req.tried and (
+            not m.suspect or self.modes.get("trouble in common", False) or trial)
 
     def turn_of(self, at, cold, shares, key=None):
         """The just-started server that takes this forward, or None: each by its share, an equal one at the
@@ -435,8 +430,7 @@
             self.heat[prefix] = self.heat.get(prefix, 0) + 1
             if sum(self.heat.values()) > 80:
                 self.heat = {key: n / 2 for key, n in self.heat.items() if n > 0.5}
-        if req.tenant < len(self.quota):
-            req.over = self.quota_left[req.tenant] < 0
+        req.over = req.tenant < len(self.quota) and self.quota_left[req.tenant] < 0
         self.read(req)
 
     def read(self, req):
@@ -579,8 +573,7 @@
         return g.effect == "replayable" or not req.ran or (g.effect == "keyed" and g.repeat_scope == "all")
 
     def send(self, req, machine, stage):
-        number = len(req.forwards)
-        ahead = machine.out_tokens + req.fresh if stage != "write" else 0
+        number, ahead = len(req.forwards), machine.out_tokens + req.fresh if stage != "write" else 0
         req.forwards.append([machine, stage, self.now, True, req.fresh, ahead])
         req.out += 1
         if stage != "read":
@@ -591,7 +584,8 @@
         machine.waiting[req.id, number] = (self.now, stage == "write")
         if machine.suspect:
             machine.trial_us = self.now + self.pause_us
-        self.out.forward(req.id, machine.id, max(MS, req.expires - self.now - self.margin_us))
+        self.out.forward(req.id, machine.id, max(MS, req.expires - self.now - self.margin_us),
+                         max(MS, req.up_by - self.now))
 
     def give_up(self, req, come_back_us=1 << 40):
         """The final answer at once, and whatever is held let go."""
@@ -676,6 +670,9 @@
                     ahead += req.tokens - (remark or 0) - fresh
                 self.read_well += 1
                 self.learn_read(machine, latency, ahead)
+        if code not in ("unreachable", "moot") and (
+                stage == "read" and code != "full" or req.up_by < req.expires):  # it was out, and may hold
+            req.up_by = min(req.expires, self.now + self.up_us)
         if code not in ("timed_out", "cancelled", "moot"):
             machine.heard_us = self.now
             machine.answered_us = max(machine.answered_us, sent if code == "read" else 0)
@@ -714,7 +711,10 @@
     def next_step(self, req, machine, stage, code, remark):
         if code == "read":
             return self.write(req)
-        if code == "moot" or req.begun is not None or self.now + self.margin_us >= req.expires:
+        # A forward whose connection does not come up is not out: what is held meanwhile has to go in time.
+        # Could harm where the very next one would have come up.
+        if code == "moot" or req.begun is not None or self.now + self.margin_us >= (
+                req.up_by if code == "unreachable" else req.expires):
             return self.give_up(req)
         if code == "full" and stage == "write" and remark == 1:
             req.holder = None  # the state may only be cut off, and then still fills its reader
--- a/lapiswing/settings/load.py
+++ b/lapiswing/settings/load.py
@@ -381,5 +381,6 @@
                   "fall_multiple": s.rules.fall_multiple, "overload_for_us": s.rules.overload_ms * MS},
         "penalties": {"cross_zone": s.prices.cross_zone},
         "family_info": {"duty_by_kind": [ROLES[k.role] for k in s.kind], "far_price": s.prices.far,
-                        "kind_memory_tokens": [k.memory_tokens for k in s.kind]},
+                        "kind_memory_tokens": [k.memory_tokens for k in s.kind],
+                        "let_go_by_us": s.rules.let_go_ms * MS},
     }
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -443,3 +443,25 @@
     seen = [[r.chance() < 0.5 for r in routers] for _ in range(60)]
     alike = [sum(a == b for a, b in zip(seen[i], seen[j])) for i in range(60) for j in range(i)]
     assert 60 <= min(alike) and max(alike) <= 140, (min(alike), max(alike))
+
+
+def test_a_state_is_let_go_in_time_while_connections_do_not_come_up():
+    """Seen: a read ended, the next five writes' connections did not come up in 250 ms each, and the state stayed held for
+    1.3 s: none of these forwards was out."""
+    play = Play(servers=("r0", "r1", "w2", "w3", "w4", "w5", "w6", "w7"))
+    play.at(10, play.req(1))
+    play.at(110, play.outcome(1, 0, play.sent()[0][2], "read"))
+    for number, ms in ((1, 360), (2, 485)):
+        assert len(play.sent()) == number + 1 and not play.sent("release")
+        play.at(ms, play.outcome(1, number, play.sent()[-1][2], "unreachable", 250))
+    assert len(play.sent()) == 3 and play.sent("release") and play.sent("push_back")
+    check("held_while_unreachable", play)
+
+
+def test_refused_connections_cost_no_time_and_end_no_req():
+    play = Play(servers=("r0", "r1", "w2", "w3", "w4", "w5", "w6", "w7"))
+    play.at(10, play.req(1))
+    play.at(110, play.outcome(1, 0, play.sent()[0][2], "read"))
+    for number in (1, 2, 3):
+        play.at(110 + number, play.outcome(1, number, play.sent()[-1][2], "unreachable", 1))
+    assert len(play.sent()) == 5 and not play.sent("release")
