Signals have their handlers before the program says that it listens

Seen: test_keys_are_read_again_on_a_signal failed in one run of three: SIGHUP right behind the line 'listening' ended the agent, whose handlers were set after it. The gateway had the same gap: SIGTERM in it ended it without a drain. At fault: cli/transfer.py agent, cli/main.py run.

--- a/lapiswing/cli/main.py
+++ b/lapiswing/cli/main.py
@@ -80,6 +80,7 @@
 
 def run(gateway):
     from lapiswing.store import StoreError
+    gateway.watch_signals()  # before it says that it listens: a signal then must find its handler
     try:
         gateway.start()
     except StoreError as problem:
@@ -88,7 +89,6 @@
         listen = gateway.settings.listen
         where = problem.filename or f"{listen.host}:{listen.port}"
         raise click.ClickException(f"can't listen on {where}: {problem.strerror or problem}") from None
-    gateway.watch_signals()
     # What was loaded at start is never garbage, and a full collection over thousands of open streams stops all of them
     # for tens of milliseconds: it is made rare. What a req leaves behind is freed by counting, cycles by the young ones.
     gc.collect()
--- a/lapiswing/cli/transfer.py
+++ b/lapiswing/cli/transfer.py
@@ -96,12 +96,12 @@
     log = start_logs(settings.log.level, settings.log.format, agent=settings.name)
     try:
         program = Program(settings, log, base=str(Path(file).parent), reread=read)
+        program.watch_signals()  # before it says that it listens: a signal then must find its handler
         program.start()
     except CertificateError as problem:
         raise Stop(f"{file}: tls: {problem}") from None
     except OSError as problem:
         raise Stop(f"{file}: {problem.filename or 'listen or control'}: {problem.strerror}") from None
-    program.watch_signals()
     program.loop.run()
     program.close()
 
