Errors that operators meet say what to do; no circle within the command line

Seen: eleven types of error reached operators, each with a base and a form of its own; most said what failed and not what to do. `cli.main`, `demo`, `site` and `dns` imported each other, some of it inside functions.

Changed: lapiswing/errors.py has one base with where, what, advice and exit code; settings, node configuration, store, admin, appliance, certificates, lab, stand-ins and sessions come under it. The outermost command tells both lines; wrappers around single calls are gone. What several commands share is in cli/common.py, the demo's files in standin/demo.py, and main alone knows the other commands; the lab imports no command any more.

Control flow inside packages (Bad, Wrong, Damaged, Refused, ...) stays.

Checked: docs/errors.md is held against the classes by a test, so is the import rule; all tests. The one change in what `run` loads is the base class of ConfigError, and that it is told in two lines.

--- a/lapiswing/admin/client.py
+++ b/lapiswing/admin/client.py
@@ -7,12 +7,20 @@
 import json
 import socket
 
+from lapiswing.errors import OperatorError
 
-class AdminError(Exception):
-    """`status` is the answer's, None where there was none."""
+ADVICE = {
+    None: "See that a gateway of this version runs there; `admin` in its settings names the address.",
+    401: "Give a key that the gateway's settings accept (`--key`, or LAPISWING_ADMIN_KEY).",
+    403: "Give a key of `admin.control_key`, or use the control socket.",
+    "refused": "`lapiswing status` shows what the gateway knows; give the act what it names."}
 
-    def __init__(self, text, status=None):
-        super().__init__(text)
+
+class AdminError(OperatorError):
+    """`status` is the answer's, None where there was none that could be read."""
+
+    def __init__(self, where, what, status=None):
+        super().__init__(where, what, ADVICE.get(status, ADVICE["refused"]))
         self.status = status
 
 
@@ -43,11 +51,11 @@
         answer = connection.getresponse()
         body = json.loads(answer.read())
     except (OSError, http.client.HTTPException, ValueError) as problem:
-        raise AdminError(f"{where}: {getattr(problem, 'strerror', None) or problem or type(problem).__name__}") from None
+        raise AdminError(where, getattr(problem, "strerror", None) or str(problem) or type(problem).__name__) from None
     finally:
         connection.close()
     if answer.status != 200:
-        raise AdminError(body.get("error", f"answered {answer.status}"), answer.status)
+        raise AdminError("", body.get("error", f"answered {answer.status}"), answer.status)
     if body.get("v") != 1:
-        raise AdminError(f"{where}: speaks version {body.get('v')} of the admin messages; this program speaks 1")
+        raise AdminError(where, f"speaks version {body.get('v')} of the admin messages; this program speaks 1")
     return body
--- a/lapiswing/appliance/supervise.py
+++ b/lapiswing/appliance/supervise.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from lapiswing.appliance.decide import Restarts
+from lapiswing.errors import OperatorError
 from lapiswing.loop import Clock, Loop
 
 MS = 1000
@@ -23,11 +24,13 @@
 STOP_US = 30_000_000
 
 
-class Locked(Exception):
+class Locked(OperatorError):
     """Another supervisor holds this folder; `pid` is its process id."""
+    exit_code = 2
+    advice = "`lapiswing up FILE --attach` opens the one that runs, `lapiswing down FILE` ends it."
 
-    def __init__(self, pid):
-        super().__init__(f"process {pid} runs it already")
+    def __init__(self, folder, pid):
+        super().__init__(folder, f"process {pid} runs it already")
         self.pid = pid
 
 
@@ -41,7 +44,7 @@
         file.seek(0)
         text = file.read().strip()
         file.close()
-        raise Locked(int(text) if text.isdigit() else 0) from None
+        raise Locked(folder, int(text) if text.isdigit() else 0) from None
     file.seek(0)
     file.truncate()
     file.write(str(os.getpid()))
--- a/lapiswing/cli/demo.py
+++ b/lapiswing/cli/demo.py
@@ -2,45 +2,12 @@
 import os
 import subprocess
 import sys
-import tempfile
-from pathlib import Path
 
 import click
-import orjson
 
-from lapiswing.cli.common import Stop
-from lapiswing.cli.main import run
-from lapiswing.loop import free_ports
+from lapiswing.cli.common import Stop, run_gateway
 from lapiswing.settings import load_text
-
-SETTINGS = """\
-# The demo's settings. docs/settings.md explains each field.
-gateway {{ name: "demo" gateways: 1 }}
-listen {{ host: "127.0.0.1" port: {port} }}
-group {{ name: "menu-question" effect: REPLAYABLE target_ms: 1200 target_per_1000_ms: 40 deadline_ms: 10000
-        resume: true }}
-group {{ name: "order-set" model: "order-set" effect: KEYED repeat_scope: ALL repeat_window_ms: 5000
-        target_ms: 1500 deadline_ms: 15000 importance: 2 }}
-tenant {{ name: "demo" api_key: "demo" }}
-kind {{ name: "prefill" role: READ memory_tokens: 200000 }}
-kind {{ name: "decode" role: WRITE memory_tokens: 200000 }}
-{boxes}"""
-
-
-def write_demo(port, count):
-    """-> the paths of settings and fleet, in a new folder."""
-    readers = max(1, count * 2 // 5)
-    rows = [(f"127.0.0.1:{p}", "read" if i < readers else "write") for i, p in enumerate(free_ports(count))]
-    folder = Path(tempfile.mkdtemp(prefix="lapiswing-demo-"))
-    fleet = {"boxes": [{"id": i, "role": role, "step_ms": 25} for i, role in rows],
-             "models": {"order-set": {"scope": "all", "window_ms": 5000}}}
-    (folder / "fleet.json").write_bytes(orjson.dumps(fleet))
-    text = SETTINGS.format(port=port, boxes="".join(
-        f'box {{ id: "{i}" kind: "{"prefill" if role == "read" else "decode"}" zone: "a" cell: "a" }}\n'
-        for i, role in rows))
-    (folder / "settings.txtpb").write_text(text)
-    return folder / "settings.txtpb", folder / "fleet.json"
-
+from lapiswing.standin.demo import write_demo
 
 def run_demo(port, count):
     if count < 2:
@@ -66,7 +33,7 @@
 
 Ctrl-C ends it.
 """)
-        run(gateway)
+        run_gateway(gateway)
     finally:
         child.terminate()
         child.wait(10)
--- a/lapiswing/cli/dns.py
+++ b/lapiswing/cli/dns.py
@@ -4,9 +4,7 @@
 
 import click
 
-from lapiswing.cli.common import Stop
-from lapiswing.cli.site import at, key_option
-from lapiswing.cli.transfer import tell
+from lapiswing.cli.common import Stop, at, key_option, tell
 
 server = click.option("--server", "servers", multiple=True, required=True, help="host:port of a name server; several may be given.")
 
@@ -85,12 +83,9 @@
 @click.option("--json", "as_json", is_flag=True)
 def boxes(where, key, as_json):
     """The boxes as merged from all sources, with each source's word and who won."""
-    from lapiswing.admin.client import AdminError, ask
+    from lapiswing.admin.client import ask
     from lapiswing.console.text import clean
-    try:
-        snap = ask(where, "GET", "/v1/snapshot?parts=boxes,records", key=key)
-    except AdminError as problem:
-        raise click.ClickException(str(problem)) from None
+    snap = ask(where, "GET", "/v1/snapshot?parts=boxes,records", key=key)
     if as_json:
         return click.echo(json.dumps({"boxes": snap["boxes"], "records": snap["records"]}))
     tell([{"box": b["box"], "role": b["role"], "mode": b["mode"], "why": clean(b["why"] or "-"), "words": clean(", ".join(
--- a/lapiswing/cli/main.py
+++ b/lapiswing/cli/main.py
@@ -1,5 +1,4 @@
 """Commands for operators. Exit codes: 0 well, 1 something ran and went wrong, 2 a bad argument, file or setting."""
-import gc
 import json
 import sys
 from pathlib import Path
@@ -7,14 +6,15 @@
 import click
 
 from lapiswing import __version__
-from lapiswing.cli.common import Stop, read_settings
+from lapiswing.cli.common import Commands, Stop, read_settings, run_gateway
 from lapiswing.cli.dns import boxes, dns_group
 from lapiswing.cli.site import act, console, down, status, up
 from lapiswing.cli.store import store
 from lapiswing.cli.transfer import add_keys, transfer
+from lapiswing.errors import CantListen
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.group(cls=Commands, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, message="lapiswing %(version)s")
 def main():
     """A router for language-model servers that read prompts and write answers on separate engines.
@@ -75,28 +75,7 @@
         settings.store.folder = settings.store.folder or str(Path(admin_folder).resolve() / "store")
     log = start_logs(settings.log.level, settings.log.format, gateway=settings.gateway.name)
     gateway = Gateway(settings, log, base=str(Path(file).parent))
-    run(gateway)
-
-
-def run(gateway):
-    from lapiswing.store import StoreError
-    gateway.watch_signals()  # before it says that it listens: a signal then must find its handler
-    try:
-        gateway.start()
-    except StoreError as problem:
-        raise click.ClickException(f"store: {problem}") from None
-    except OSError as problem:
-        listen = gateway.settings.listen
-        where = problem.filename or f"{listen.host}:{listen.port}"
-        raise click.ClickException(f"can't listen on {where}: {problem.strerror or problem}") from None
-    # What was loaded at start is never garbage, and a full collection over thousands of open streams stops all of them
-    # for tens of milliseconds: it is made rare. What a req leaves behind is freed by counting, cycles by the young ones.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(20000, 20, 200)
-    gateway.loop.run()
-    if gateway.store is not None:
-        gateway.store.close()  # what waits is written
+    run_gateway(gateway)
 
 
 @main.command()
@@ -104,10 +83,9 @@
 def standin(file):
     """Run stand-ins for boxes from a fleet file (JSON, see lapiswing/standin/fleet.py)."""
     from lapiswing.standin import Fleet, load_fleet
-    from lapiswing.standin.fleet import FleetError
     try:
-        value, specs = load_fleet(Path(file).read_bytes())
-    except (OSError, FleetError) as problem:
+        value, specs = load_fleet(Path(file).read_bytes(), file)
+    except OSError as problem:
         raise Stop(f"{file}: {problem}") from None
     run_fleet(value, specs, Fleet)
 
@@ -122,7 +100,7 @@
     try:
         fleet.start()
     except OSError as problem:
-        raise Stop(f"a box can't listen: {problem.strerror}") from None
+        raise CantListen("a box of the fleet", problem) from None
     fleet.play(value.get("script") or [], value.get("t0_us") or loop.clock.now_us())
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.on_signal(number, loop.stop)
@@ -198,15 +176,15 @@
     from functools import partial
 
     from lapiswing.lab.doubles import ROUTERS
-    from lapiswing.lab.replay import ReplayError, load_day
+    from lapiswing.lab.replay import load_day
     if router not in ROUTERS:
         raise Stop(f"--router: {router!r} is none of {', '.join(ROUTERS)}")
     days = []
     for file in files:
         try:
             text = Path(file).read_bytes()
-            load_day(text, speed, scale, seed)
-        except (OSError, ReplayError) as problem:
+            load_day(text, speed, scale, seed, file)
+        except OSError as problem:
             raise Stop(f"{file}: {problem}") from None
         days.append((partial(load_day, text, speed, scale), seed))
     play_days(days, router, jobs, as_json, keep)
@@ -244,8 +222,5 @@
     /drop     cut the connection and come back with the token
     /cancel   cancel the running call
     /quit     close the session"""
-    from lapiswing.cli.session import SessionError, run_session
-    try:
-        run_session(url, key, model, raw)
-    except SessionError as problem:
-        raise click.ClickException(str(problem)) from None
+    from lapiswing.cli.session import run_session
+    run_session(url, key, model, raw)
--- a/lapiswing/cli/session.py
+++ b/lapiswing/cli/session.py
@@ -11,18 +11,20 @@
 from wsproto.events import AcceptConnection, CloseConnection, Ping, RejectConnection, RejectData, Request, TextMessage
 from wsproto.utilities import RemoteProtocolError
 
+from lapiswing.errors import OperatorError
 from lapiswing.loop import Clock, Loop, connect
 
 
-class SessionError(Exception):
+class SessionError(OperatorError):
     """The session could not be opened or went away for good."""
+    advice = "See that the gateway runs at that address, that the key is one of its tenants' and that it serves the model."
 
 
 class Talk:
     def __init__(self, loop, url, key, model, raw, out=click.echo):
         parts = urlsplit(url)
         if parts.scheme != "ws" or not parts.hostname:
-            raise SessionError(f"{url}: not a ws:// address")
+            raise SessionError(url, "not a ws:// address")
         self.loop, self.parts, self.key, self.model, self.raw, self.out = loop, parts, key, model, raw, out
         self.token, self.seen, self.running, self.count, self.messages = None, {}, None, 0, []
         self.problem, self.stream, self.quit, self.tries = None, None, False, 0
@@ -170,4 +172,4 @@
         loop.call_later(300_000, typed, 0)
     loop.run()
     if talk.problem:
-        raise SessionError(talk.problem)
+        raise SessionError(url, talk.problem)
--- a/lapiswing/cli/site.py
+++ b/lapiswing/cli/site.py
@@ -9,13 +9,10 @@
 
 import click
 
-from lapiswing.cli.common import Stop, read_settings
+from lapiswing.cli.common import Stop, at, key_option, read_settings
 
 EXITS = {0: 0, 1: 0, 2: 3, 3: 4}
 NO_ANSWER = 5
-at = click.option("--at", "where", envvar="LAPISWING_ADMIN", default="gateway.sock", show_default=True,
-                  help="Admin socket: a Unix path or host:port.")
-key_option = click.option("--key", envvar="LAPISWING_ADMIN_KEY", help="Where host:port wants one.")
 
 
 @click.command()
@@ -34,7 +31,7 @@
         if as_json:
             click.echo(json.dumps({"error": str(problem)}))
         else:
-            click.echo(f"No answer: {clean(problem)}", err=True)
+            click.echo(f"No answer: {clean(problem)}\nTo do: {problem.advice}", err=True)
         sys.exit(NO_ANSWER)
     if as_json:
         click.echo(json.dumps(head))
@@ -79,12 +76,9 @@
 
 
 def do(context, value):
-    from lapiswing.admin.client import AdminError, ask
+    from lapiswing.admin.client import ask
     where, key = context.obj
-    try:
-        click.echo(ask(where, "POST", "/v1/actions", value, key)["done"])
-    except AdminError as problem:
-        raise click.ClickException(str(problem)) from None
+    click.echo(ask(where, "POST", "/v1/actions", value, key)["done"])
 
 
 @act.command()
@@ -165,7 +159,7 @@
 
     Leaving the console or closing the terminal leaves the gateway running; `lapiswing up FILE --attach` opens it again,
     `lapiswing down FILE` ends all."""
-    from lapiswing.appliance.supervise import Locked, Supervisor, holder_of
+    from lapiswing.appliance.supervise import Supervisor, holder_of
     if demo and not file:
         file, fleet = demo_files(port)
     if not file:
@@ -177,10 +171,7 @@
     if fleet is None and (file.parent / "fleet.json").exists() and file.parent.name.startswith("lapiswing-demo"):
         fleet = file.parent / "fleet.json"
     if foreground:
-        try:
-            Supervisor(folder, commands_of(file, folder, fleet)).run()
-        except Locked as problem:
-            raise Stop(f"{file}: {problem}") from None
+        Supervisor(folder, commands_of(file, folder, fleet)).run()
         return
     running = holder_of(folder)
     if attach and running is None:
@@ -227,7 +218,7 @@
 
 
 def demo_files(port):
-    from lapiswing.cli.demo import write_demo
+    from lapiswing.standin.demo import write_demo
     return write_demo(port, 5)
 
 
--- a/lapiswing/cli/store.py
+++ b/lapiswing/cli/store.py
@@ -14,21 +14,13 @@
     """Look at what a gateway remembers, and mend it, while no gateway runs on it."""
 
 
-def guarded(work, *args):
-    from lapiswing.store import StoreError
-    try:
-        return work(*args)
-    except StoreError as problem:
-        raise (Stop if problem.kind == "locked" else click.ClickException)(str(problem)) from None
-
-
 @store.command()
 @folder
 @click.option("--json", "as_json", is_flag=True)
 def verify(folder, as_json):
     """Read everything; exit with 1 where something can't be read. Changes nothing."""
     from lapiswing.store.tools import verify
-    found, counts = guarded(verify, folder)
+    found, counts = verify(folder)
     bad = any(f.bad for f in found)
     if as_json:
         click.echo(json.dumps({"ok": not bad, "findings": [f._asdict() for f in found], **counts}))
@@ -62,7 +54,7 @@
             except (msgspec.DecodeError, UnicodeDecodeError):
                 text = json.dumps({"key": key.decode(errors="replace"), "expires_unix_ms": expires or None, "hex": value.hex()})
             click.echo(text)
-    guarded(lines)
+    lines()
 
 
 @store.command()
@@ -70,7 +62,7 @@
 def compact(folder):
     """Rewrite it without what no longer counts."""
     from lapiswing.store.tools import compact
-    before, after = guarded(compact, folder)
+    before, after = compact(folder)
     click.echo(f"{before} bytes before, {after} after")
 
 
@@ -82,6 +74,6 @@
 
     What was acknowledged after that byte is lost: calls with a key whose record is lost can run twice."""
     from lapiswing.store.tools import repair
-    for line in guarded(repair, folder, keep) or ["nothing was left out"]:
+    for line in repair(folder, keep) or ["nothing was left out"]:
         click.echo(line)
     click.echo(f"as it was: {keep}")
--- a/lapiswing/cli/transfer.py
+++ b/lapiswing/cli/transfer.py
@@ -7,7 +7,8 @@
 
 import click
 
-from lapiswing.cli.common import Stop, read_settings
+from lapiswing.cli.common import Stop, read_settings, tell
+from lapiswing.errors import CantListen
 
 MB = 1 << 20
 
@@ -33,7 +34,7 @@
 def agent_of(name, key_file, folder, memory=1 << 40):
     from lapiswing.loop import Clock, Loop
     from lapiswing.transfer.agent import Agent
-    from lapiswing.transfer.certificates import CertificateError, Tls
+    from lapiswing.transfer.certificates import Tls
     keys, tls = [], None
     if key_file:
         try:
@@ -43,10 +44,7 @@
         if not keys:
             raise Stop(f"{key_file}: holds no key")
     if folder:
-        try:
-            tls = Tls(Path(folder, f"{name}.crt"), Path(folder, f"{name}.key"), Path(folder, "authority.crt"), name)
-        except CertificateError as problem:
-            raise Stop(str(problem)) from None
+        tls = Tls(Path(folder, f"{name}.crt"), Path(folder, f"{name}.key"), Path(folder, "authority.crt"), name)
     return Agent(Loop(Clock()), name, keys, memory, tls=tls)
 
 
@@ -87,7 +85,6 @@
     and certificates again."""
     from lapiswing.observe import start_logs
     from lapiswing.settings import load_agent
-    from lapiswing.transfer.certificates import CertificateError
     from lapiswing.transfer.serve import Program
 
     def read():
@@ -98,10 +95,10 @@
         program = Program(settings, log, base=str(Path(file).parent), reread=read)
         program.watch_signals()  # before it says that it listens: a signal then must find its handler
         program.start()
-    except CertificateError as problem:
-        raise Stop(f"{file}: tls: {problem}") from None
     except OSError as problem:
-        raise Stop(f"{file}: {problem.filename or 'listen or control'}: {problem.strerror}") from None
+        if problem.filename:
+            raise Stop(f"{file}: {problem.filename}: {problem.strerror}") from None
+        raise CantListen(f"{file}: listen or control", problem) from None
     program.loop.run()
     program.close()
 
@@ -257,16 +254,6 @@
         pass
 
 
-def tell(rows, as_json, fields):
-    if as_json:
-        return click.echo(json.dumps(rows))
-    if not rows:
-        return click.echo("no states")
-    widths = {f: max(len(f), *(len(str(r[f])) for r in rows)) for f in fields}
-    for row in [dict(zip(fields, fields)), *rows]:
-        click.echo("  ".join(f"{'-' if row[f] is None else row[f]!s:{widths[f]}}" for f in fields).rstrip())
-
-
 # ---- keys
 
 def add_keys(keys):
@@ -319,11 +306,8 @@
     @click.argument("name")
     def check_keys(folder, name):
         """Say whether an agent NAME can be run with the files in FOLDER, and for how long."""
-        from lapiswing.transfer.certificates import CertificateError, check
-        try:
-            days = check(Path(folder, f"{name}.crt"), Path(folder, f"{name}.key"), Path(folder, "authority.crt"), name)
-        except CertificateError as problem:
-            raise Stop(str(problem)) from None
+        from lapiswing.transfer.certificates import check
+        days = check(Path(folder, f"{name}.crt"), Path(folder, f"{name}.key"), Path(folder, "authority.crt"), name)
         click.echo(f"{name}: good for {days} days")
 
 
--- a/lapiswing/lab/gateway.py
+++ b/lapiswing/lab/gateway.py
@@ -2,8 +2,7 @@
 import sys
 from pathlib import Path
 
-from lapiswing.cli.common import read_settings
-from lapiswing.cli.main import run
+from lapiswing.cli.common import read_settings, run_gateway
 from lapiswing.gateway.serve import Gateway
 from lapiswing.lab.doubles import ROUTERS
 from lapiswing.observe import start_logs
@@ -16,4 +15,4 @@
                       router=router)
     if getattr(router, "without_backstop", False):
         gateway.core.too_late = lambda req: None
-    run(gateway)
+    run_gateway(gateway)
--- a/lapiswing/lab/replay.py
+++ b/lapiswing/lab/replay.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from lapiswing.errors import OperatorError
 from lapiswing.lab.plan import CallPlan, Day, Group
 
 US = 1_000_000
@@ -17,22 +18,24 @@
 BYTES = 4  # of text for a token, as stand-ins count
 
 
-class ReplayError(Exception):
+class ReplayError(OperatorError):
     """A file that is not a bench day, or one that no stand-in can play."""
+    exit_code = 2
+    advice = "Give a two-stage day as the operators' bench keeps it (JSON)."
 
 
-def load_day(text, speed=1.0, scale=1.0, seed=1):
+def load_day(text, speed=1.0, scale=1.0, seed=1, where=""):
     """`speed`: the day's time runs that much faster, boxes and clients with it. `scale`: of traffic and of boxes.
     Raises ReplayError."""
     try:
         raw = orjson.loads(text)
         if raw["family"] != "twostage":
-            raise ReplayError(f"family {raw['family']!r}: only two-stage days can be played")
+            raise ReplayError(where, f"family {raw['family']!r}: only two-stage days can be played")
         return Mapped(raw, speed, scale, seed).day()
     except orjson.JSONDecodeError as problem:
-        raise ReplayError(f"not JSON: {problem}") from None
+        raise ReplayError(where, f"not JSON: {problem}") from None
     except (KeyError, TypeError, IndexError, ValueError) as problem:
-        raise ReplayError(f"not a day of the bench: {type(problem).__name__} {problem}") from None
+        raise ReplayError(where, f"not a day of the bench: {type(problem).__name__} {problem}") from None
 
 
 class Mapped:
--- a/lapiswing/lab/run.py
+++ b/lapiswing/lab/run.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from lapiswing.errors import OperatorError
 from lapiswing.http1 import Pool
 from lapiswing.lab.audit import Limits, audit, service
 from lapiswing.lab.clients import Crowd
@@ -23,8 +24,9 @@
 SETTLE_MS = 1500  # after the last client
 
 
-class DayFailed(Exception):
+class DayFailed(OperatorError):
     """The day could not be played; it says nothing about the rules."""
+    advice = "Look at the named logs, then play the day again, with fewer `--jobs` where the machine is busy."
 
 
 class Ports:
@@ -79,7 +81,7 @@
                 self.start_gateway(i)
             self.wait_for_gateways()
             if self.loop.clock.now_us() > self.t0:
-                raise DayFailed("the processes took too long to start")
+                raise DayFailed(self.folder, "the processes took too long to start")
             crowd = Crowd(self.loop, Pool(self.loop), self.record, day, self.ports)
             crowd.play(day.calls, self.t0)
             for at_ms, box, mode, cold in day.lists:
@@ -110,7 +112,7 @@
         path.write_bytes(orjson.dumps(value))
         self.fleet = self.spawn("fleet", ["standin", str(path)], stdout=subprocess.PIPE)
         if not self.fleet.stdout.readline():
-            raise DayFailed(f"the stand-ins did not start, see {self.folder}/fleet.log")
+            raise DayFailed(f"{self.folder}/fleet.log", "the stand-ins did not start")
 
     def spawn(self, name, args, stdout=subprocess.DEVNULL, module="lapiswing"):
         log = open(self.folder / f"{name}.log", "ab")
@@ -140,7 +142,7 @@
                     break
                 except OSError:
                     if time.monotonic() > end or self.gateways[i].poll() is not None:
-                        raise DayFailed(f"gateway {i} did not start, see {self.folder}/gateway{i}.log") from None
+                        raise DayFailed(f"{self.folder}/gateway{i}.log", f"gateway {i} did not start") from None
                     time.sleep(0.02)
 
     names, withdrawn = None, frozenset()
--- a/lapiswing/node/__main__.py
+++ b/lapiswing/node/__main__.py
@@ -3,7 +3,7 @@
 import os
 import sys
 
-from lapiswing.node.config import ConfigError
+from lapiswing.errors import CantListen, OperatorError
 from lapiswing.node.names import CONFIG
 from lapiswing.node.serve import Node
 from lapiswing.observe import start_logs
@@ -16,15 +16,16 @@
     try:
         node = Node(path, start_logs("info"))
         node.start()
-    except ConfigError as problem:
-        return str(problem)
     except OSError as problem:
-        return f"{path}: listen: {problem.strerror or problem}"
+        raise CantListen(f"{path}: listen", problem) from None
     node.run()
 
 
 if __name__ == "__main__":
-    fault = main()
+    try:
+        fault = main()
+    except OperatorError as problem:
+        fault = f"{problem}\n{problem.advice}"
     if fault:
         print(fault, file=sys.stderr)
         sys.exit(2)
--- a/lapiswing/node/config.py
+++ b/lapiswing/node/config.py
@@ -4,13 +4,17 @@
 
 import msgspec
 
+from lapiswing.errors import OperatorError
 from lapiswing.loop import address_of
 from lapiswing.words import settings_of
 
 
-class ConfigError(ValueError):
+class ConfigError(OperatorError, ValueError):
+    exit_code = 2
+    advice = "Mend the named field of the configuration that the platform gives, then start again or send SIGHUP."
+
     def __init__(self, path, field, reason):
-        super().__init__(f"{path}: {field}: {reason}")
+        super().__init__(path, f"{field}: {reason}")
 
 
 class Limits(msgspec.Struct):
--- a/lapiswing/settings/load.py
+++ b/lapiswing/settings/load.py
@@ -8,6 +8,7 @@
 from google.protobuf import text_format
 
 from lapiswing.dns.codec import question
+from lapiswing.errors import OperatorError
 from lapiswing.interface import EndpointGroup, Server
 from lapiswing.loop import address_of
 from lapiswing.settings import settings_pb2 as pb
@@ -54,10 +55,14 @@
         return f"{self.file}:{self.line}: {self.field or 'text'}: {self.reason}"
 
 
-class SettingsError(Exception):
+class SettingsError(OperatorError):
+    """`faults`: all that were found."""
+    exit_code = 2
+    advice = "Mend the named fields (docs/settings.md); `lapiswing check FILE` tells all faults of a gateway's file."
+
     def __init__(self, faults):
-        super().__init__("\n".join(map(str, faults)))
-        self.faults = faults
+        super().__init__("", "\n".join(map(str, faults)))
+        self.faults, self.where = faults, faults[0].file if faults else ""
 
 
 def lines_of(text):
--- a/lapiswing/standin/fleet.py
+++ b/lapiswing/standin/fleet.py
@@ -10,6 +10,7 @@
 
 import orjson
 
+from lapiswing.errors import OperatorError
 from lapiswing.http1 import Pool
 from lapiswing.standin.box import MS, Box, BoxSpec, Faults
 from lapiswing.standin.record import Record
@@ -18,11 +19,13 @@
 DOES = {*SWITCHES, "path_slow", "path_flip", "path_cut", "slow", "errors", "lost", "reset_at", "garbage", "die", "restart", "flush"}
 
 
-class FleetError(Exception):
+class FleetError(OperatorError):
     """A fleet file that can't be played; the text names the entry."""
+    exit_code = 2
+    advice = "Mend the named entry; lapiswing/standin/fleet.py lists what a fleet file may hold."
 
 
-def load_fleet(text):
+def load_fleet(text, where=""):
     """Raises FleetError."""
     try:
         value = orjson.loads(text)
@@ -30,21 +33,21 @@
         for i, row in enumerate(value["boxes"]):
             unknown = set(row) - names
             if unknown:
-                raise FleetError(f"boxes[{i}]: no such field: {', '.join(sorted(unknown))}")
+                raise FleetError(where, f"boxes[{i}]: no such field: {', '.join(sorted(unknown))}")
         specs = [BoxSpec(**row) for row in value["boxes"]]
         ids = {s.id for s in specs}
         for i, step in enumerate(value.get("script") or []):
             if step.get("do") not in DOES:
-                raise FleetError(f"script[{i}].do: {step.get('do')!r} is none of {', '.join(sorted(DOES))}")
+                raise FleetError(where, f"script[{i}].do: {step.get('do')!r} is none of {', '.join(sorted(DOES))}")
             missing = set(step.get("boxes") or ()) - ids
             if missing or not step.get("boxes"):
-                raise FleetError(f"script[{i}].boxes: {', '.join(sorted(missing)) or 'none'} not in the fleet")
+                raise FleetError(where, f"script[{i}].boxes: {', '.join(sorted(missing)) or 'none'} not in the fleet")
             if not isinstance(step.get("at_ms"), (int, float)):
-                raise FleetError(f"script[{i}].at_ms: is missing")
+                raise FleetError(where, f"script[{i}].at_ms: is missing")
     except orjson.JSONDecodeError as problem:
-        raise FleetError(f"not JSON: {problem}") from None
+        raise FleetError(where, f"not JSON: {problem}") from None
     except (KeyError, TypeError) as problem:
-        raise FleetError(f"malformed: {problem}") from None
+        raise FleetError(where, f"malformed: {problem}") from None
     return value, specs
 
 
--- a/lapiswing/store/engine.py
+++ b/lapiswing/store/engine.py
@@ -12,6 +12,7 @@
 from errno import EDQUOT, ENOSPC
 from itertools import islice
 
+from lapiswing.errors import OperatorError
 from lapiswing.store.format import (FRAME, HEAD, HINT, INLINE, MANIFEST, Damaged, Hint, Manifest, NewerVersion,
                                     frame, frames, outer, read_frame, read_outer, read_segment_head, segment_head)
 from lapiswing.store.index import Index
@@ -25,12 +26,18 @@
 SMALL = 1 << 20  # a log below this is not worth it
 
 
-class StoreError(Exception):
+class StoreError(OperatorError):
     """`kind`: locked, damaged, newer, io. `file` where it is."""
+    advices = {
+        "locked": "End the process that has it open, or name another folder in `store.folder`.",
+        "damaged": "`lapiswing store verify` names what is damaged, `lapiswing store repair` keeps all that can be read.",
+        "newer": "Start the newer program, or name another folder in `store.folder`.",
+        "io": "Look at the disk's state and room and at the folder's rights, then try again."}
 
     def __init__(self, kind, file, text):
-        super().__init__(f"{file}: {text}" if file else text)
+        super().__init__(file, text, self.advices[kind])
         self.kind, self.file = kind, file
+        self.exit_code = 2 if kind == "locked" else 1
 
 
 def segment_name(number):
--- a/lapiswing/transfer/certificates.py
+++ b/lapiswing/transfer/certificates.py
@@ -14,16 +14,19 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import ExtendedKeyUsageOID, NameOID
 
+from lapiswing.errors import OperatorError
 from lapiswing.loop import secure
 
 DAY = datetime.timedelta(days=1)
 
 
-class CertificateError(Exception):
+class CertificateError(OperatorError):
     """`file` and `reason`."""
+    exit_code = 2
+    advice = "`lapiswing keys check FOLDER NAME` tells whether files fit; `lapiswing keys agent FOLDER NAME --renew` makes new ones."
 
     def __init__(self, file, reason):
-        super().__init__(f"{file}: {reason}")
+        super().__init__(file, reason)
         self.file, self.reason = str(file), reason
 
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -18,12 +18,12 @@
 import pytest
 from click.testing import CliRunner
 
-from lapiswing.cli.demo import write_demo
 from lapiswing.cli.main import main
 from lapiswing.console.model import VIEWS, Model
 from lapiswing.console.text import age, clean, fit, spark, width
 from lapiswing.console.views import render
 from lapiswing.loop import free_ports
+from lapiswing.standin.demo import write_demo
 
 NASTY = "w\x1b[2J\x1b]0;owned\x07\u202e\r\n\x9b31m"
 WIDE = "日本語の箱"
--- /dev/null
+++ b/tests/test_errors.py
@@ -0,0 +1,131 @@
+"""Errors that operators meet: each says what failed, where, and what to do; docs/errors.md lists all of them."""
+import ast
+import importlib
+import pkgutil
+import re
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+import lapiswing
+from lapiswing.cli.main import main
+from lapiswing.errors import CantListen, OperatorError
+from lapiswing.store import StoreError
+
+ROOT = Path(__file__).parent.parent
+PAGE = (ROOT / "docs" / "errors.md").read_text()
+
+
+def every_type():
+    for module in pkgutil.walk_packages(lapiswing.__path__, "lapiswing."):
+        if not module.name.endswith("__main__"):
+            importlib.import_module(module.name)
+    todo, found = [OperatorError], []
+    while todo:
+        for kind in todo.pop().__subclasses__():
+            if kind not in found and kind.__module__.startswith("lapiswing."):
+                found.append(kind)
+                todo.append(kind)
+    return found
+
+
+def rows():
+    """Of the page's table: type -> (module, exit codes)."""
+    return {m[1]: (m[2], {int(c) for c in re.findall(r"\d", m[3])}) for m in re.finditer(
+        r"^\| `(\w+)` \| `([\w.]+)` \|.*?\| ([\d, ]+) \|", PAGE, re.M)}
+
+
+def test_the_page_lists_every_type_with_its_module_exit_code_and_advice():
+    told, kinds = rows(), {kind.__name__: kind for kind in every_type()}
+    assert set(told) == set(kinds)
+    for name, kind in kinds.items():
+        module, codes = told[name]
+        assert module == kind.__module__
+        assert kind.exit_code in codes
+        for advice in [kind.advice, *getattr(kind, "advices", {}).values()]:
+            assert not advice or advice in PAGE, (name, advice)
+
+
+def test_each_type_says_in_one_sentence_what_to_do():
+    for kind in every_type():
+        advices = [*getattr(kind, "advices", {}).values()] or [kind.advice]
+        if kind.__name__ == "AdminError":
+            from lapiswing.admin.client import ADVICE
+            advices = ADVICE.values()
+        for advice in advices:
+            assert advice.endswith(".") and not re.search(r"\.\s", advice) and len(advice) > 20, (kind, advice)
+
+
+def test_control_flow_inside_packages_stays_outside():
+    """What is caught within its own package is no error for operators."""
+    names = {kind.__name__ for kind in every_type()}
+    assert not names & {"Bad", "Wrong", "Unknown", "Damaged", "BadFrame", "BadAnswer", "Refused", "TooLong", "Impossible"}
+
+
+@pytest.mark.parametrize("kind", ["locked", "damaged", "newer", "io"])
+def test_where_what_and_advice(kind):
+    problem = StoreError(kind, "00000001.log", "ends in the middle")
+    assert str(problem) == "00000001.log: ends in the middle"
+    assert (problem.where, problem.what) == ("00000001.log", "ends in the middle") and problem.advice
+
+
+def test_the_command_line_prints_both_lines_and_no_traceback(tmp_path):
+    result = CliRunner().invoke(main, ["act", "--at", str(tmp_path / "none.sock"), "drain", "b1"])
+    assert result.exit_code == 1
+    first, second = result.output.splitlines()
+    assert first == f"Error: {tmp_path / 'none.sock'}: No such file or directory"
+    assert second.startswith("To do: See that a gateway")
+
+
+def test_settings_faults_are_told_line_by_line_with_what_to_do(tmp_path):
+    file = tmp_path / "s.txtpb"
+    file.write_text('gateway { name: "x" }\ngroup { name: "a" effect: REPLAYABLE target_ms: 0 }\n')
+    result = CliRunner().invoke(main, ["serve", str(file)])
+    lines = result.output.splitlines()
+    assert result.exit_code == 2 and len(lines) > 2
+    assert all(line.startswith(f"Error: {file}:") for line in lines[:-1]) and lines[-1].startswith("To do: Mend")
+
+
+def test_text_from_elsewhere_can_not_drive_the_terminal():
+    from lapiswing.cli.common import Told
+    from lapiswing.admin.client import AdminError
+    runner, problem = CliRunner(), Told(AdminError("", "no such box: \x1b[2J", 404))
+    with runner.isolation() as streams:
+        problem.show()
+        assert b"\x1b" not in streams[1].getvalue() + streams[0].getvalue()
+
+
+def test_an_address_in_use_is_told_with_its_address(tmp_path):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        fleet = tmp_path / "f.json"
+        fleet.write_text('{"boxes": [{"id": "127.0.0.1:%d", "role": "read"}]}' % port)
+        result = CliRunner().invoke(main, ["standin", str(fleet)])
+    assert result.exit_code == 2 and "can't listen" in result.output and "To do: " + CantListen.advice in result.output
+
+
+def test_the_platform_door_tells_both_lines_and_ends_with_2(tmp_path):
+    config = tmp_path / "config.json"
+    config.write_text("{")
+    done = subprocess.run([sys.executable, "-m", "lapiswing.node"], env={"RELAY_CONFIG": str(config)}, cwd=ROOT,
+                          capture_output=True, text=True)
+    first, second = done.stderr.splitlines()
+    assert done.returncode == 2 and first.startswith(f"{config}: file: not JSON") and second.startswith("Mend")
+
+
+def test_main_alone_knows_the_other_commands():
+    """No module of the command line imports another one but `common`, so none can come round to itself."""
+    folder = ROOT / "lapiswing" / "cli"
+    for file in folder.glob("*.py"):
+        known = {node.module for node in ast.walk(ast.parse(file.read_text()))
+                 if isinstance(node, ast.ImportFrom) and (node.module or "").startswith("lapiswing.cli")}
+        assert file.name == "main.py" or known <= {"lapiswing.cli.common"}, (file.name, known)
+    for file in (ROOT / "lapiswing").rglob("*.py"):  # and nothing below the command line imports it
+        if folder not in file.parents and file.name != "__main__.py":
+            assert "lapiswing.cli.main" not in file.read_text(), file
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -497,7 +497,9 @@
     assert code == 0 and int(text.split()[0]) > int(text.split()[-2])
     engine = opened(Files(tmp_path / "s"))
     assert held(engine) == states[-1]
-    assert command("verify", tmp_path / "s") == (2, "Error: LOCK: another process has this store open\n")
+    assert command("verify", tmp_path / "s") == (
+        2, "Error: LOCK: another process has this store open\n"
+        "To do: End the process that has it open, or name another folder in `store.folder`.\n")
     engine.close()
 
 
