Zones that look cut off are left out; last connections get 10 ms each

At fault: usable() in policy.py judges servers one by one; the give-up added to next_step ended a req where it had only to keep the next try short.

Changed: connections to two servers of a zone, or one of the req's own, that did not come up leave the zone out until somebody there answers, for a pause at the most, and never all. In place of giving up, what is held leaves each further connection what is left of its three quarters, 10 ms at least: five in a row end 0.415 s after the read.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -25,7 +25,9 @@
 FULL = 0.8  # told share of memory from which a writer's wait is a queue and no lost answer
 LEARNT_US = 600 * 1000 * MS  # figures of an earlier life older than this are not taken up
 COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
-UP_PART = 0.75  # of the time to let go: connections that do not come up may use it, the rest is the release's
+# Part of the time to let go that connections may use to come up, then each so little: a forward is not out
+# before, and the rest is the release's. Could harm where all are slow to come up.
+UP_PART, LEAST_UP_US = 0.75, 10 * MS
 COLD_HOMES = 2  # a prefix goes to every so many-th cold reader; no one's turns grow by more, whatever is hot
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
@@ -55,8 +57,7 @@
 class Req:
     def __init__(self, rid, group, tenant, tokens, now, expires, target):
         self.id, self.group, self.tenant, self.tokens = rid, group, tenant, tokens
-        self.arrived, self.expires, self.target = now, expires, target
-        self.up_by = expires  # the next forward's connection; what may be held has to be let go else
+        self.arrived, self.target, self.expires, self.up_by = now, target, expires, expires  # up_by: UP_PART
         self.forwards, self.out, self.tried = [], 0, set()  # out: how many have no outcome yet
         self.holder = self.begun = self.turn = None  # turn: a cold writer that will take it
         self.ran, self.fresh, self.closed, self.over = [], tokens, False, False  # ran: forwards that may have
@@ -92,7 +93,7 @@
         self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
         self.kind_took = [[0.0, 1.0] for _ in self.kinds]  # served by warm servers of a kind, their seconds
         self.kind_cost = [[0.0, 0.0] for _ in self.kinds]  # read time and tokens lately
-        self.heat, self.spare = {}, 10.0  # reqs by prefix; further forwards that may be sent
+        self.heat, self.spare, self.lost = {}, 10.0, {}  # reqs by prefix; forwards to spare; see reachable
         self.read_tokens, self.read_span, self.reads_out, self.subscribed = 0.0, MS, 0, True
         self.asked = self.read_well = 0.0  # lately: reqs, less those without a turn; reads that ended well
         self.news, self.timer, self.moved_us, self.halved_us = 0, False, 0, now_us
@@ -159,10 +160,9 @@
                 machine.kept, machine.bad, machine.suspect = {}, 0.0, False
                 self.reads[machine.at] = self.waits[machine.at] = 0.0
             machine.listed(row, self.kinds)
-        if kind != "update":
-            named = {row.id for row in rows}
-            for machine in self.machines.values():
-                machine.mode = machine.mode if machine.id in named else "gone"
+        named = {row.id for row in rows}
+        for machine in [m for m in self.machines.values() if kind != "update" and m.id not in named]:
+            machine.mode = "gone"
         more = len(self.machines) - len(self.took)
         self.joint[:] = 0.0
         self.joint[np.ix_(self.r_at, self.w_at)] = self.pairs
@@ -175,16 +175,13 @@
 
     def forget_gone(self):  # what has left and has no open req; else every new id would stay for good
         busy = {forward[0].id for req in self.reqs.values() for forward in req.forwards}
-        gone = [m.id for m in self.machines.values() if m.mode == "gone" and m.id not in busy]
-        for name in gone:
-            del self.machines[name]
-        if gone:
-            at = [m.at for m in self.machines.values()]
-            self.joint, self.reads, self.waits = self.joint[np.ix_(at, at)], self.reads[at], self.waits[at]
-            self.taken, self.took, self.stream_us, self.owed_us, self.begun = (
-                t[at] for t in (self.taken, self.took, self.stream_us, self.owed_us, self.begun))
-            for at, machine in enumerate(self.machines.values()):
-                machine.at = at
+        self.machines = {m.id: m for m in self.machines.values() if m.mode != "gone" or m.id in busy}
+        at = [m.at for m in self.machines.values()]
+        self.joint, self.reads, self.waits = self.joint[np.ix_(at, at)], self.reads[at], self.waits[at]
+        self.taken, self.took, self.stream_us, self.owed_us, self.begun = (
+            t[at] for t in (self.taken, self.took, self.stream_us, self.owed_us, self.begun))
+        for at, machine in enumerate(self.machines.values()):
+            machine.at = at
 
     def level_pairs(self):  # new pairs at the mean share; a mixed server writes itself what it reads
         ready = [m for m in self.machines.values() if m.mode == "ready"]
@@ -269,8 +266,7 @@
         # How many wait bins each read bin leaves the writer, a table for all readers whose moves cost alike.
         begins = np.concatenate((np.zeros((len(self.writers), 1)), np.cumsum(wait, axis=1)), axis=1)
         value = np.full(self.open.shape, 0.0 if total else 1.0)
-        alone = value[:, 0].copy()
-        alike = {}
+        alone, alike = value[:, 0].copy(), {}
         for i, reader, way in self.ways:
             alike.setdefault((way, float("%.1g" % self.hop(reader, way))), []).append(i)
         for m, g in zip(self.mix, self.groups):
@@ -358,10 +354,9 @@
             most = 2 * m.out_tokens * self.cost_of(m)
             for (rid, number), (sent, writing) in list(m.waiting.items()):
                 req, quiet = self.reqs[rid], self.now - max(sent, m.heard_us)
-                usual = self.wait_mean if writing else self.read_mean
+                usual, waited = self.wait_mean if writing else self.read_mean, self.now - sent
                 # One forward alone may just be slow.
                 silent = quiet > max(600 * MS, 5 * usual + most) * (1 + 2 / len(m.waiting) ** 2)
-                waited = self.now - sent
                 overtaken = sent < m.answered_us and waited >= max(400 * MS, 4 * usual)
                 _, stage, _, _, _, ahead = req.forwards[number]
                 # Far behind what it should take alone: behind others' work, or its answer was lost. Could
@@ -375,11 +370,9 @@
                     late = waited > 3 * (ahead * self.cost_of(m) + req.tokens * move)
                 if silent and not m.suspect:
                     self.mark(m, 0.6, f"silent for {quiet // MS} ms, usual {usual / MS:.0f}")
-                if not (silent or overtaken or late):
-                    continue
                 harmless = stage == "read" or (overtaken or late) and again
-                if harmless and not req.closed and self.may_cancel and self.spare >= 1 and (
-                        len(req.forwards) < self.most_forwards - 1):
+                if (silent or overtaken or late) and harmless and not req.closed and self.may_cancel and (
+                        self.spare >= 1 and len(req.forwards) < self.most_forwards - 1):
                     self.out.retract(rid, number)
 
     def mark(self, m, by, why):
@@ -392,6 +385,7 @@
 
     def good(self, m):
         m.bad *= 0.75
+        self.lost.pop(m.zone, None)
         if m.suspect and m.bad < 0.3:
             m.suspect = False
             self.out.log(f"suspect {m.id} off: bad {m.bad:.2f}")
@@ -402,6 +396,15 @@
         return m.mode == "ready" and m.id not in req.tried and (
             not m.suspect or self.modes.get("trouble in common", False) or trial)
 
+    def reachable(self, machines, req):
+        """The usable ones, if any is left outside zones that look cut off: where connections of two servers,
+        or this req's, did not come up and none answered since. Guards against trying a lost zone one by one;
+        could harm where single servers of a zone hang, by a pause."""
+        lost = {zone for zone, ids in self.lost.items() if self.now - max(ids.values()) < self.pause_us and (
+            len(ids) > 1 or not req.tried.isdisjoint(ids))}
+        usable = [m for m in machines if self.usable(m, req) and self.may_forward(req, m)]
+        return [m for m in usable if m.zone not in lost] or usable
+
     def turn_of(self, at, cold, shares, key=None):
         """The just-started server that takes this forward, or None: each by its share, an equal one at the
         most, times the part that the rule lets it be sent. In own reqs and not in time, so that a router that
@@ -464,12 +467,11 @@
             return self.give_up(req, int(ready_us + wait - allowed / 2))
         if req.tenant < len(self.quota) and not req.forwards:
             self.quota_left[req.tenant] = max(-self.quota[req.tenant] - 2, self.quota_left[req.tenant] - 1)
-        kept, known = reader.kept, self.known(req, reader)
+        kept, req.fresh = reader.kept, max(1, req.tokens - self.known(req, reader))
         if len(kept) > 2000:
             kept.clear()
         kept.update({req.prefix: req.prefix_tokens, req.session: req.tokens})
         kept.pop(None, None)
-        req.fresh = max(1, req.tokens - known)
         self.read_tokens += req.fresh
         self.send(req, reader, "direct" if reader.writes else "read")
 
@@ -478,7 +480,7 @@
 
     def choose_reader(self, req, at):
         """The reader, and in what time its read should end. The effects rule binds new reads too."""
-        usable = [r for r in self.readers if self.usable(r, req) and self.may_forward(req, r)]
+        usable = self.reachable(self.readers, req)
         cold, usable = [r for r in usable if r.cold], [r for r in usable if not r.cold]
         key = req.prefix if req.prefix is not None else req.session
         turn = self.turn_of(at, cold, [min(self.share[r.id], 1 / len(self.readers)) for r in cold], key)
@@ -540,7 +542,7 @@
         self.send(req, writer, "write") if writer else self.give_up(req)
 
     def choose_writer(self, req):
-        usable = [w for w in self.writers if self.usable(w, req) and self.may_forward(req, w)]
+        usable = self.reachable(self.writers, req)
         if not usable:
             return None
         shares = self.pairs[self.row[req.holder.id]] if req.holder.id in self.row else self.pairs.mean(axis=0)
@@ -585,7 +587,7 @@
         if machine.suspect:
             machine.trial_us = self.now + self.pause_us
         self.out.forward(req.id, machine.id, max(MS, req.expires - self.now - self.margin_us),
-                         max(MS, req.up_by - self.now))
+                         max(LEAST_UP_US, req.up_by - self.now))
 
     def give_up(self, req, come_back_us=1 << 40):
         """The final answer at once, and whatever is held let go."""
@@ -642,16 +644,15 @@
         if machine is not None and report and report.get("held") is not None:
             machine.held, machine.held_at = report["held"], self.now
         if machine is not None and report and report.get("queue") is not None:
-            served, seconds = self.kind_took[machine.kind]  # at its kind's rate of serving all routers
-            machine.told_us = report["queue"] / max(1.0, served / seconds * self.gateways) * 1e6
+            took, of = self.kind_took[machine.kind]  # at its kind's rate of serving all routers
+            machine.told_us = report["queue"] * 1e6 / max(1.0, took / of * self.gateways)
             machine.told_at = self.now
         req = self.reqs.get(rid)
         forward = req.forwards[number] if req is not None and number < len(req.forwards) else [None] * 4
         if not forward[3]:
             return  # late, twice, or of a req that was never here
         machine, stage, sent, _, fresh, ahead = forward
-        forward[3] = False
-        req.out -= 1
+        forward[3], req.out = False, req.out - 1
         machine.waiting.pop((rid, number), None)
         if stage != "read":
             machine.stream_tokens -= req.tokens
@@ -679,6 +680,8 @@
         self.taken[machine.at] += code == "read"
         self.news, self.seen = self.news + 1, self.seen + 1
         self.failing += ((code in FAILURES) - self.failing) * 0.05
+        if code == "unreachable":
+            self.lost.setdefault(machine.zone, {})[machine.id] = self.now
         if code in FAILURES:
             self.mark(machine, 0.6 if code == "unreachable" else 0.3, f"{code} after {latency // MS} ms")
             if code == "timed_out" and stage == "write":
@@ -711,10 +714,7 @@
     def next_step(self, req, machine, stage, code, remark):
         if code == "read":
             return self.write(req)
-        # A forward whose connection does not come up is not out: what is held meanwhile has to go in time.
-        # Could harm where the very next one would have come up.
-        if code == "moot" or req.begun is not None or self.now + self.margin_us >= (
-                req.up_by if code == "unreachable" else req.expires):
+        if code == "moot" or req.begun is not None or self.now + self.margin_us >= req.expires:
             return self.give_up(req)
         if code == "full" and stage == "write" and remark == 1:
             req.holder = None  # the state may only be cut off, and then still fills its reader
