One contract for every store, and a store in memory

Changed: tests/contracts/test_stores.py says what a caller may rely on: order, what was acknowledged stays, what was not is whole or absent after a power cut at any operation and a file that ends at any byte, reads while compacting, a full disk, a second opening, an end. The engine on files, the engine on files that fail and the new store in memory keep it; a further one is a line in a list. Memory has the engine's face, for copies without a disk.

--- a/lapiswing/store/__init__.py
+++ b/lapiswing/store/__init__.py
@@ -4,9 +4,11 @@
     index     what the log says: keys, expiry, order, snapshots; pure
     files     the file layer, and one that loses what was not synced
     engine    opening, group commit, compaction
+    memory    the same face without a disk
     tools     verify, dump, compact, repair"""
 from lapiswing.store.engine import Engine, StoreError
 from lapiswing.store.files import Files
+from lapiswing.store.memory import Memory
 from lapiswing.store.work import Inline, Worker
 
-__all__ = ["Engine", "Files", "Inline", "StoreError", "Worker"]
+__all__ = ["Engine", "Files", "Inline", "Memory", "StoreError", "Worker"]
--- /dev/null
+++ b/tests/contracts/test_stores.py
@@ -0,0 +1,194 @@
+"""What a caller may rely on, of every store."""
+import copy
+import random
+
+import pytest
+from contracts.stores import STORES
+
+from lapiswing.store import StoreError
+
+
+def those(*can):
+    """A fixture of the stores that can do this."""
+    @pytest.fixture(params=[s for s in STORES if all(hasattr(s, c) for c in can)], ids=lambda s: s.__name__)
+    def place(request, tmp_path):
+        return request.param(tmp_path)
+    return place
+
+
+place, filled, powered = those(), those("fill"), those("cut")
+
+
+def steps(seed, n=40):
+    rng = random.Random(seed)
+
+    def value():
+        return None if rng.random() < 0.25 else rng.randbytes(rng.choice((1, 30, 200)))
+    for _ in range(n):
+        yield [(b"k%d" % rng.randrange(10), value(), 0) for _ in range(rng.choice((1, 2, 4)))]
+
+
+def apply(model, items):
+    for key, value, _ in items:
+        model.pop(key, None) if value is None else model.__setitem__(key, value)
+    return model
+
+
+def test_reads_say_what_was_put_last_in_order(place):
+    store, model = place.open(), {}
+    for items in steps(1):
+        told = []
+        assert store.put(items, told.append) and told == [None]
+        apply(model, items)
+        assert dict(store.range()) == model and all(store.get(k) == v for k, v in model.items())
+    assert list(store.range()) == sorted(model.items())
+    assert list(store.range(b"k3", b"k6")) == sorted((k, v) for k, v in model.items() if b"k3" <= k < b"k6")
+    assert store.get(b"none") is None and store.get(b"") is None
+    store.close()
+
+
+def test_a_batch_is_told_once_and_in_order(place):
+    store, told = place.open(), []
+    for i in range(20):
+        store.put([(b"k", b"%d" % i, 0)], lambda why, i=i: told.append((i, why)))
+    store.close()
+    assert told == [(i, None) for i in range(20)]
+
+
+def test_a_snapshot_stays_while_all_changes(place):
+    store, model = place.open(), {}
+    for items in steps(2):
+        store.put(items)
+        apply(model, items)
+    view, then = store.snapshot(), dict(model)
+    for items in steps(3):
+        store.put(items)
+    for _ in store.compact():
+        pass
+    assert dict(view.range()) == then and all(view.get(k) == v for k, v in then.items())
+    view.close()
+    store.close()
+
+
+def test_what_is_over_is_not_read_and_can_be_taken_out(place):
+    store = place.open()
+    store.put([(b"a", b"1", place.now.ms + 100), (b"b", b"2", 0)])
+    assert store.get(b"a") == b"1"
+    place.now.ms += 100
+    assert store.get(b"a") is None and dict(store.range()) == {b"b": b"2"}
+    for _ in store.expire():
+        pass
+    place.now.ms -= 1000  # a clock that steps back brings nothing back
+    assert store.get(b"a") is None and dict(store.range()) == {b"b": b"2"}
+    store.close()
+
+
+def test_reading_goes_on_while_compacting(place):
+    store, model = place.open(), {}
+    for items in steps(4, 120):
+        store.put(items)
+        apply(model, items)
+    for _ in range(30):
+        for _ in store.compact():
+            assert dict(store.range()) == model
+            items = [(b"k1", b"%d" % len(model), 0)]
+            store.put(items)
+            apply(model, items)
+    assert dict(store.range()) == model
+    store.close()
+
+
+def test_a_full_disk_refuses_whole_batches_and_goes_on_when_there_is_room(filled):
+    place = filled
+    store, model = place.open(), {}
+    for items in steps(5, 10):
+        store.put(items)
+        apply(model, items)
+    place.fill()
+    before, told = dict(store.range()), []
+    store.put([(b"k1", b"y" * 500, 0), (b"new", b"y" * 500, 0)], told.append)
+    assert len(told) == 1 and told[0]  # with a reason
+    assert dict(store.range()) == before
+    place.room()
+    assert store.put([(b"later", b"1", 0)], told.append) and told[1] is None
+    assert {k: v for k, v in store.range() if not k.startswith(b"~")} == {**model, b"later": b"1"}
+    store.close()
+
+
+def test_closed_it_takes_nothing_and_closing_again_does_no_harm(place):
+    store = place.open()
+    store.put([(b"a", b"1", 0)])
+    store.close()
+    told = []
+    assert not store.put([(b"b", b"1", 0)], told.append) and told and told[0]
+    store.close()
+
+
+def test_a_second_opening_of_what_is_open_is_refused(place):
+    store = place.open()
+    with pytest.raises(StoreError) as problem:
+        (place.open if place.lasts else store.open)()
+    assert problem.value.kind == "locked" and problem.value.advice
+    store.close()
+
+
+def test_what_was_acknowledged_is_there_after_a_start(place):
+    store, model = place.open(), {}
+    for items in steps(6, 60):
+        store.put(items)
+        apply(model, items)
+    store.close()
+    again = place.open()
+    assert dict(again.range()) == (model if place.lasts else {})
+    again.close()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_after_a_cut_the_acknowledged_is_there_and_the_rest_whole_or_absent(powered, seed):
+    """The power goes at any operation of the disk, in the middle of a batch."""
+    place = powered
+    rng = random.Random(seed)
+    store, model, last = place.open(), {}, None
+    stop_at = place.files.operations + rng.randrange(5, 150)
+
+    class PowerCut(Exception):
+        pass
+
+    def fail(operation, name):
+        if place.files.operations >= stop_at:
+            raise PowerCut
+    place.files.fail = fail
+    try:
+        for items in steps(seed, 200):
+            told, last = [], items
+            store.put(items, told.append)
+            assert told == [None]
+            apply(model, items)
+    except PowerCut:
+        pass
+    place.files.fail = None
+    place.cut()
+    again = place.open()
+    found = dict(again.range())
+    assert found in (model, apply(dict(model), last))
+    assert again.put([(b"after", b"1", 0)])
+    again.close()
+
+
+def test_a_file_that_ends_at_any_byte_gives_a_prefix_of_whole_batches(powered):
+    place = powered
+    store, states, model = place.open(), [{}], {}
+    for items in steps(7, 6):
+        store.put(items)
+        states.append(dict(apply(model, items)))
+    active = f"{store.active:08d}.log"
+    store.close()
+    whole, found = place.files, []
+    for size in range(len(whole.files[active].now) + 1):
+        place.files = copy.deepcopy(whole)
+        del place.files.files[active].now[size:]
+        again = place.open()
+        assert dict(again.range()) in states, size
+        found.append(states.index(dict(again.range())))
+        again.close()
+    assert found == sorted(found) and found[-1] == len(states) - 1
