--- a/lapiswing/node/reach.py
+++ b/lapiswing/node/reach.py
@@ -1,8 +1,9 @@
-"""Whom to tell something that any model server may be told, so that one of them hears it in time. No I/O, and no word
-on reqs: it serves a release, which each server that runs passes on to whoever holds.
+"""Whom to tell something that any model server may be told, so that one of them hears it in time. No I/O, and
+no word on reqs: it serves a release, which each server that runs passes on to whoever holds.
 
-Guards against a holder that is cut off, alone or with its zone, against this gateway's own zone being cut off, and
-against answers that get lost. Could harm by its messages where no server answers at all: `AT_ONCE` bounds them."""
+Guards against a holder that is cut off, alone or with its zone, against this gateway's own zone being cut
+off, and against answers that get lost. Could harm by its messages where no server answers at all: `AT_ONCE`
+bounds them."""
 from lapiswing.policy import mixed
 
 AT_ONCE = 4  # servers told anew at the most each time
@@ -15,8 +16,8 @@
 
 
 class Reach:
-    """What was heard of servers, and when; times in us of one clock. `salt`: this gateway's own, so that gateways in
-    one trouble do not all turn to the same server."""
+    """What was heard of servers, and when; times in us of one clock. `salt`: this gateway's own, so that
+    gateways in one trouble do not all turn to the same server."""
 
     def __init__(self, zone, salt):
         self.zone, self.salt, self.zones = zone, salt, {}
@@ -40,9 +41,10 @@
             self.silent_us[server] = now_us
 
     def order(self, holder):
-        """All servers. First the holder, unless it is known to be silent; then zone by zone in turn, so that the first
-        few are not all behind one cut: zones that have answered since one of theirs was silent, the own one first of
-        these; in each zone who was not silent since it was last heard, the last heard first, else by chance."""
+        """All servers. First the holder, unless it is known to be silent; then zone by zone in turn, so that
+        the first few are not all behind one cut: zones that have answered since one of theirs was silent, the
+        own one first of these; in each zone who was not silent since it was last heard, the last heard first,
+        else by chance."""
         self.draws += 1
         draw = b"/%d/%d" % (self.salt, self.draws)
         chance = {name: mixed(name.encode() + draw) for name in self.zones}
@@ -52,15 +54,17 @@
         by_zone = {}
         for name, zone in self.zones.items():
             by_zone.setdefault(zone, []).append(name)
-        latest = {zone: (max(self.heard_us.get(n, 0) for n in names), max(self.silent_us.get(n, 0) for n in names))
+        latest = {zone: [max(known.get(n, 0) for n in names) for known in (self.heard_us, self.silent_us)]
                   for zone, names in by_zone.items()}
         for names in by_zone.values():
             names.sort(key=lambda n: (quiet(n), -self.heard_us.get(n, 0), chance[n]))
-        zones = sorted(by_zone, key=lambda z: (latest[z][1] > latest[z][0], z != self.zone, chance[by_zone[z][0]]))
+        zones = sorted(by_zone, key=lambda z: (latest[z][1] > latest[z][0], z != self.zone,
+                                               chance[by_zone[z][0]]))
         line = [by_zone[z][at] for at in range(max(map(len, by_zone.values()), default=0)) for z in zones
                 if at < len(by_zone[z])]
         line.sort(key=quiet)
         if holder in self.zones:
             line.remove(holder)
-            line.insert(next((i for i, n in enumerate(line) if quiet(n)), len(line)) if quiet(holder) else 0, holder)
+            others = sum(not quiet(n) for n in line)
+            line.insert(others if quiet(holder) else 0, holder)
         return line
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -1,4 +1,5 @@
-"""Errors that operators meet: each says what failed, where, and what to do; docs/errors.md lists all of them."""
+"""Errors that operators meet: each says what failed, where, and what to do; docs/errors.md lists all of
+them."""
 import ast
 import importlib
 import pkgutil
@@ -57,13 +58,14 @@
             from lapiswing.admin.client import ADVICE
             advices = ADVICE.values()
         for advice in advices:
-            assert advice.endswith(".") and not re.search(r"\.\s", advice) and len(advice) > 20, (kind, advice)
+            assert advice.endswith(".") and len(advice) > 20 and not re.search(r"\.\s", advice), advice
 
 
 def test_control_flow_inside_packages_stays_outside():
     """What is caught within its own package is no error for operators."""
     names = {kind.__name__ for kind in every_type()}
-    assert not names & {"Bad", "Wrong", "Unknown", "Damaged", "BadFrame", "BadAnswer", "Refused", "TooLong", "Impossible"}
+    assert not names & {"Bad", "Wrong", "Unknown", "Damaged", "BadFrame", "BadAnswer", "Refused", "TooLong",
+                        "Impossible"}
 
 
 @pytest.mark.parametrize("kind", ["locked", "damaged", "newer", "io"])
@@ -87,7 +89,8 @@
     result = CliRunner().invoke(main, ["serve", str(file)])
     lines = result.output.splitlines()
     assert result.exit_code == 2 and len(lines) > 2
-    assert all(line.startswith(f"Error: {file}:") for line in lines[:-1]) and lines[-1].startswith("To do: Mend")
+    assert all(line.startswith(f"Error: {file}:") for line in lines[:-1])
+    assert lines[-1].startswith("To do: Mend")
 
 
 def test_text_from_elsewhere_can_not_drive_the_terminal():
@@ -107,16 +110,18 @@
         fleet = tmp_path / "f.json"
         fleet.write_text('{"boxes": [{"id": "127.0.0.1:%d", "role": "read"}]}' % port)
         result = CliRunner().invoke(main, ["standin", str(fleet)])
-    assert result.exit_code == 2 and "can't listen" in result.output and "To do: " + CantListen.advice in result.output
+    assert result.exit_code == 2 and "can't listen" in result.output
+    assert "To do: " + CantListen.advice in result.output
 
 
 def test_the_platform_door_tells_both_lines_and_ends_with_2(tmp_path):
     config = tmp_path / "config.json"
     config.write_text("{")
-    done = subprocess.run([sys.executable, "-m", "lapiswing.node"], env={"RELAY_CONFIG": str(config)}, cwd=ROOT,
-                          capture_output=True, text=True)
+    done = subprocess.run([sys.executable, "-m", "lapiswing.node"], env={"RELAY_CONFIG": str(config)},
+                          cwd=ROOT, capture_output=True, text=True)
     first, second = done.stderr.splitlines()
-    assert done.returncode == 2 and first.startswith(f"{config}: file: not JSON") and second.startswith("Mend")
+    assert done.returncode == 2 and first.startswith(f"{config}: file: not JSON")
+    assert second.startswith("Mend")
 
 
 def test_main_alone_knows_the_other_commands():
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -1,7 +1,8 @@
-"""Releases while servers can't be reached: each is heard by one that answers within half of the time there is for it.
+"""Releases while servers can't be reached: each is heard by one that answers within half of the time there is
+for it.
 
-Seen: `pinned` broken on days when a zone is cut off, as a release went to its holder and then to one server after
-another, in an order that knew nothing of who can be reached."""
+Seen: `pinned` broken on days when a zone is cut off, as a release went to its holder and then to one server
+after another, in an order that knew nothing of who can be reached."""
 import random
 
 import pytest
@@ -20,8 +21,8 @@
 
 
 class Network:
-    """In place of the pool: `cut` servers say nothing, of the others' answers a share is lost, and `dead` ones refuse.
-    A call is heard by a server that runs after 1 ms, its answer is back after another."""
+    """In place of the pool: `cut` servers say nothing, of the others' answers a share is lost, and `dead`
+    ones refuse. A call is heard by a server that runs after 1 ms, its answer is back after another."""
 
     def __init__(self, loop, seed):
         self.loop, self.draw = loop, random.Random(seed)
@@ -69,8 +70,8 @@
         return heard and heard - begun, self.network.calls - calls
 
 
-@pytest.mark.parametrize("how", ["own zone cut off", "another zone cut off", "own zone lost", "a fifth silent",
-                                 "a third gone", "half of the answers lost"])
+@pytest.mark.parametrize("how", ["own zone cut off", "another zone cut off", "own zone lost",
+                                 "a fifth silent", "a third gone", "half of the answers lost"])
 def test_each_release_is_heard_within_half_of_its_time_while_servers_are_silent(how):
     worst, calls, n = 0, 0, 0
     for seed in range(10):
