Gateways join a fleet where `fleet` is configured; rows lie on the disk first

Seen while writing it: a row counted in the digests, and was sent in answer to a comparison, before its write had ended; rows enter the table by `settle` now (test_a_row_that_is_not_on_the_disk_yet_...).

--- a/lapiswing/admin/serve.py
+++ b/lapiswing/admin/serve.py
@@ -228,6 +228,8 @@
                 "live_bytes": store.index.bytes, "keys": len(store.index.keys), **store.counts, **core.memory.counts}))
             out.append(b',"tasks":' + orjson.dumps({"running": self.gateway.tasks.rows(), "finished": self.gateway.tasks.finished,
                                                     **self.gateway.tasks.counts}))
+        if "fleet" in wanted:
+            out.append(b',"fleet":' + orjson.dumps(None if self.gateway.fleet is None else self.gateway.fleet.facts()))
         if "records" in wanted:
             out.append(b',"records":' + orjson.dumps(None if self.gateway.discovery is None else self.gateway.discovery.rows()))
         if "modes" in wanted:
@@ -454,7 +456,8 @@
             self.audit.close()
 
 
-PARTS = frozenset(("boxes", "counts", "tenants", "sessions", "store", "records", "modes", "reqs"))
+PARTS = frozenset(("boxes", "counts", "tenants", "sessions", "store", "records", "modes", "reqs",
+                   "fleet"))
 ACTS = {"drain": Admin.act_drain, "take-back": Admin.act_take_back, "cap": Admin.act_cap, "uncap": Admin.act_uncap,
         "acknowledge": Admin.act_acknowledge, "drain-gateway": Admin.act_drain_gateway}
 
--- a/lapiswing/cli/common.py
+++ b/lapiswing/cli/common.py
@@ -1,4 +1,5 @@
-"""What several commands use. The other modules of this package know this one only; `main` alone knows them."""
+"""What several commands use. The other modules of this package know this one only; `main` alone knows
+them."""
 import gc
 import json
 from pathlib import Path
@@ -69,8 +70,9 @@
     except OSError as problem:
         listen = gateway.settings.listen
         raise CantListen(problem.filename or f"{listen.host}:{listen.port}", problem) from None
-    # What was loaded at start is never garbage, and a full collection over thousands of open streams stops all of them
-    # for tens of milliseconds: it is made rare. What a req leaves behind is freed by counting, cycles by the young ones.
+    # What was loaded at start is never garbage, and a full collection over thousands of open streams stops
+    # all of them for tens of milliseconds: it is made rare. What a req leaves behind is freed by counting,
+    # cycles by the young ones.
     gc.collect()
     gc.freeze()
     gc.set_threshold(20000, 20, 200)
--- a/lapiswing/fleet/link.py
+++ b/lapiswing/fleet/link.py
@@ -140,17 +140,12 @@
         return self.rows.write(key, value)
 
     def tell(self, raw):
-        row = self.rows.table.get(self.key_of(raw))
+        """An own row is on the disk: others may hear of it."""
+        row = self.rows.settle(raw)
         if row is not None:
             self.fresh[row.writer, row.key] = [raw, 0]
             self.push()
 
-    @staticmethod
-    def key_of(raw):
-        from lapiswing.fleet.messages import ROW
-        row = ROW.decode(raw)
-        return row.writer, row.key
-
     def some_rows(self):
         out, size = [], 0
         most = max(1, round(ROW_TIMES * len(self.members.all).bit_length()))
--- a/lapiswing/fleet/rows.py
+++ b/lapiswing/fleet/rows.py
@@ -2,7 +2,7 @@
 version, so loss, repetition and order of messages never matter. Pure.
 
     rows = Rows("gw-1#8f")                   -> the table of this identity
-    row = rows.write("hold/a", b"...")       a row of its own; tell it once it is on the disk
+    row, raw = rows.write("hold/a", b"...")  a row of its own; `settle(raw)` once it is on the disk
     rows.take(raw)                           -> Row if it was new here
     rows.digests() / rows.versions(buckets)  for a comparison with another table"""
 import msgspec
@@ -35,17 +35,26 @@
         self.refused = 0
 
     def write(self, key, value):
-        """A row of the own identity, a version further. -> (Row, raw). Raises ValueError: too large, or no
-        room."""
+        """A row of the own identity, a version further. -> (Row, raw). It is not in the table, and so nobody
+        hears of it, until `settle`. Raises ValueError: too large, or no room."""
         if len(key.encode()) > MOST_KEY or value is not None and len(value) > MOST_VALUE:
             raise ValueError(f"row {key[:40]!r} is too large")
         row = Row(self.me, key, self.version + 1, value)
-        raw = packed(row)
-        if not self.put(row, raw):
+        raw, new = packed(row), (self.me, key) not in self.table
+        if self.bytes + len(raw) > MOST_BYTES or new and len(self.table) >= MOST_ROWS:
             raise ValueError("no room for a further row")
         self.version += 1
         return row, raw
 
+    def settle(self, raw):
+        """An own row that is on the disk now. -> the Row, or None where it is of another identity or a later
+        one is here."""
+        row = ROW.decode(raw)
+        old = self.table.get((row.writer, row.key))
+        if row.writer != self.me or old is not None and old.version >= row.version:
+            return None
+        return row if self.put(row, raw) else None
+
     def put(self, row, raw):
         at = (row.writer, row.key)
         old = self.table.get(at)
--- a/lapiswing/gateway/serve.py
+++ b/lapiswing/gateway/serve.py
@@ -95,6 +95,8 @@
         if self.settings.boxes_file:
             self.loop.call_later(self.settings.boxes_poll_ms * MS, self.poll)
         self.loop.call_later(1000 * MS, self.ask)
+        if self.settings.HasField("fleet"):
+            self.join_fleet()
         if s_admin(self.settings.admin):
             self.admin = Admin(self, self.log)
             self.admin.start()
@@ -112,7 +114,15 @@
             lambda found: row_of_found(found, self.settings, self.zones, self.cells, self.started_us),
             core.records, core.look_at_members, self.log)
 
-    discovery = None
+    discovery = fleet = None
+
+    def join_fleet(self):
+        """The link to other copies, loaded where it is wanted only. Raises OSError where it can't listen."""
+        from lapiswing.fleet.host import Host
+        s = self.settings
+        usable = self.store is not None and self.store.mode == "good"
+        self.fleet = Host(self.loop, s.fleet, s.gateway.name, s.gateway.zone, self.store if usable else None, self.log)
+        self.fleet.start()
 
     def remember(self):
         """Opens the store and takes up what an earlier life left. One that can't be read leaves the gateway without memory, as one that
@@ -213,6 +223,8 @@
 
     def drain(self):
         self.put_learnt()
+        if self.fleet is not None:
+            self.fleet.close()
         self.core.changed("gateway", text="draining")
         self.log.info("draining", open=self.core.open, limit_ms=self.settings.gateway.drain_limit_ms)
         self.server.drain()
@@ -253,6 +265,8 @@
         self.tasks.close()
         if self.discovery:
             self.discovery.close()
+        if self.fleet is not None:
+            self.fleet.close(at_once=True)
         if self.store is not None:
             self.store.close()
         if self.admin:
--- a/lapiswing/settings/load.py
+++ b/lapiswing/settings/load.py
@@ -301,9 +301,32 @@
             Fernet(key)
         except ValueError:
             yield f"sessions.token_key[{i}]", "is not a key: 32 bytes in URL-safe base64 (`lapiswing keys session`)"
+    if s.HasField("fleet"):
+        yield from wrong_fleet(s)
     yield from wrong_boxes(s.box, kinds)
 
 
+def wrong_fleet(s):
+    f = s.fleet
+    if not f.listen.host or not 0 < f.listen.port < 65536:
+        yield "fleet.listen", "host and port are wanted"
+    elif f.listen.port == s.listen.port:
+        yield "fleet.listen.port", f"{f.listen.port} is the chat API's"
+    if f.address:
+        yield from wrong_address("fleet.address", f.address)
+    elif f.listen.host in ("0.0.0.0", "::"):
+        yield "fleet.address", "is missing: others can't connect to every address of this machine"
+    for i, peer in enumerate(f.peer):
+        yield from wrong_address(f"fleet.peer[{i}]", peer)
+    if not f.key:
+        yield "fleet.key", "is missing: anybody could speak for a copy"
+    for i, key in enumerate(f.key):
+        if len(key) < 16:
+            yield f"fleet.key[{i}]", "is shorter than 16 characters"
+    if not s.gateway.name or "#" in s.gateway.name or len(s.gateway.name) > 40:
+        yield "gateway.name", "a copy of a fleet needs a name of its own, 40 characters at most and without #"
+
+
 def wrong_log(log):
     if log.level not in ("debug", "info", "warning", "error"):
         yield "log.level", f"{log.level!r} is none of debug, info, warning, error"
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -216,6 +216,15 @@
         assert version == max(v for a, b, v in told if (a, b) == (w, k))
 
 
+def test_a_row_that_is_not_on_the_disk_yet_is_told_by_no_comparison_either():
+    out = fleet(4, 17)
+    row, raw = out.nodes[1].link.write("k", b"1")
+    out.run(10 * S)
+    assert not any(node.link.rows.table for node in out.up())
+    out.nodes[1].link.tell(raw)
+    assert out.run(2 * S, lambda: all((row.writer, "k") in node.link.rows.table for node in out.up()))
+
+
 def test_versions_changed_for_each_other_change_the_digest():
     """crc32 would not tell: it is linear."""
     sums = []
@@ -229,7 +238,7 @@
 
 def test_nobody_but_its_writer_changes_a_row():
     rows = Rows("me")
-    row, _ = rows.write("k", b"mine")
+    row = rows.settle(rows.write("k", b"mine")[1])
     assert rows.take(packed(Row("me", "k", 9, b"not mine"))) is None
     assert rows.table["me", "k"] is row and rows.newer == 9
 
