News of the list brings zones that looked cut off back into the choice

A pause is five reqs of the gateway's own, 7 s at two reqs in three seconds, in which the zone that has come back is left out though the list says it is there.

Ruled out: too few late forwards moved on.

At fault: `lost` in policy.py knew of answers only.

Changed: whatever the list tells clears it.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -146,7 +146,7 @@
             self.out.log(f"{name} {'on' if on else 'off'}: {text}")
 
     def on_servers(self, kind, rows):
-        self.subscribed = kind in ("update", "replace")
+        self.subscribed, self.lost = kind in ("update", "replace"), {}
         if kind == "unavailable":
             return
         for row in rows:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -511,3 +511,17 @@
     for number in (0, 1):
         play.at(20 + number, play.outcome(1, number, play.sent()[-1][2], "unreachable", 1))
     assert len({line[2] for line in play.sent()}) == 3  # the third reader, of the one zone there is
+
+
+def test_news_of_the_list_brings_a_lost_zone_back_into_the_choice():
+    """Else a zone that was lost and is listed again stays out for a pause: seconds, where reqs are rare."""
+    play = Play(servers=())
+    zone = zones_of(play)
+    play.router.lost = {1: {"r1": 10 * MS, "w7": 10 * MS}}
+    for rid in range(20):
+        play.at(20 + rid, play.req(rid, prefix=f"c:{rid}"))
+    assert not any(zone[line[2]] == 1 for line in play.sent())
+    zones_of(play)
+    for rid in range(20, 40):
+        play.at(50 + rid, play.req(rid, prefix=f"c:{rid}"))
+    assert any(zone[line[2]] == 1 for line in play.sent())
