Fleet link read once more: one bad-link model, one way to a store, dead state out

Behaviour stays as it is.

- The simulated network and the wire on sockets each had a model of loss, repetition, spoiling and delay: Fates in standin/wire.py serves both.
- The host asked at five places whether there is a store; without one it uses the store in memory, which has the same face.
- Whether a member lives, whether a row is new, an identity's life and the length of keys in the settings were each worked out at several places.
- Out: Compare.first (always true), Rows.forget and Rows.refused (unread), hooks of the simulated fleet that nothing used, a wrapper in `store dump` left from an error handler that is gone.
- Tests: one Quiet, one choice of makes for both contracts, their loops of sends and puts once each; the assertions are the same.

--- a/lapiswing/cli/demo.py
+++ b/lapiswing/cli/demo.py
@@ -9,6 +9,7 @@
 from lapiswing.settings import load_text
 from lapiswing.standin.demo import write_demo
 
+
 def run_demo(port, count):
     if count < 2:
         raise Stop("--boxes: at least 2, a reader and a writer")
--- a/lapiswing/cli/store.py
+++ b/lapiswing/cli/store.py
@@ -4,8 +4,6 @@
 
 import click
 
-from lapiswing.cli.common import Stop
-
 folder = click.argument("folder", type=click.Path(exists=True, file_okay=False))
 
 
@@ -41,20 +39,18 @@
     from lapiswing.state.records import CapRecord, KeyRecord
     from lapiswing.store.tools import dump
 
-    def lines():
-        for key, value, expires in dump(folder):
-            if not key.startswith(prefix.encode()):
-                continue
-            kind = {b"k/": KeyRecord, b"c/": CapRecord}.get(key[:2])
-            try:
-                shown = msgspec.to_builtins(msgspec.msgpack.decode(value, type=kind)) if kind else value.decode()
-                if kind:
-                    shown = dict(zip(kind.__struct_fields__, shown))
-                text = json.dumps({"key": key.decode(errors="replace"), "expires_unix_ms": expires or None, "value": shown})
-            except (msgspec.DecodeError, UnicodeDecodeError):
-                text = json.dumps({"key": key.decode(errors="replace"), "expires_unix_ms": expires or None, "hex": value.hex()})
-            click.echo(text)
-    lines()
+    for key, value, expires in dump(folder):
+        if not key.startswith(prefix.encode()):
+            continue
+        kind = {b"k/": KeyRecord, b"c/": CapRecord}.get(key[:2])
+        try:
+            shown = msgspec.to_builtins(msgspec.msgpack.decode(value, type=kind)) if kind else value.decode()
+            if kind:
+                shown = dict(zip(kind.__struct_fields__, shown))
+            text = json.dumps({"key": key.decode(errors="replace"), "expires_unix_ms": expires or None, "value": shown})
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            text = json.dumps({"key": key.decode(errors="replace"), "expires_unix_ms": expires or None, "hex": value.hex()})
+        click.echo(text)
 
 
 @store.command()
--- a/lapiswing/fleet/host.py
+++ b/lapiswing/fleet/host.py
@@ -7,6 +7,7 @@
 
 from lapiswing.fleet.link import TICK_US, Link
 from lapiswing.fleet.transport import Streams
+from lapiswing.store import Memory
 
 LEAVE_US = 100_000
 LIFE, OWN, OTHERS = b"f/life", b"f/o/", b"f/r/"
@@ -15,7 +16,8 @@
 class Host:
     def __init__(self, loop, settings, name, zone, store, log, on_row=None, on_member=None, on_identity=None):
         """`settings`: the checked Fleet message; `store`: open, or None."""
-        self.loop, self.settings, self.store, self.log = loop, settings, store, log
+        self.loop, self.settings, self.log = loop, settings, log
+        self.store = Memory().open() if store is None else store
         self.name, self.zone = name, zone
         self.hear_row, self.hear_member = on_row or (lambda row: None), on_member or (lambda one, was: None)
         self.hear_identity = on_identity or (lambda old, new: None)
@@ -27,17 +29,15 @@
         s = self.settings
         self.transport = Streams(self.loop, s.listen.host, s.listen.port, self.heard)
         address = s.address or f"{s.listen.host}:{self.transport.port}"
-        life = self.store.get(LIFE) if self.store is not None else None
+        life = self.store.get(LIFE)
         self.link = Link(
             self.name, address, list(s.peer), [k.encode() for k in s.key], SystemRandom().random,
             os.urandom(16), self.transport.send, self.loop.clock.now_us(), life.decode() if life else None,
             self.zone, on_row=self.on_row, on_member=self.on_member, on_log=self.on_log,
             on_identity=self.on_identity)
-        bad = 0
-        if self.store is not None:
-            bad = self.link.restore(value for prefix in (OWN, OTHERS)
-                                    for _, value in self.store.range(prefix, prefix[:-1] + b"0"))
-            self.keep_life()
+        bad = self.link.restore(value for prefix in (OWN, OTHERS)
+                                for _, value in self.store.range(prefix, prefix[:-1] + b"0"))
+        self.store.put([self.life()])
         self.log.info("fleet link", id=self.link.id, at=address, peers=len(s.peer),
                       rows=len(self.link.rows.table), unreadable=bad or None)
         self.tick()
@@ -56,11 +56,6 @@
         """An own row. `done(why)`: None once it is on the disk and on its way. Raises ValueError: it may not
         be written now, is too large, or there is no room."""
         row, raw = self.link.write(key, value)
-        if self.store is None:
-            self.link.tell(raw)
-            if done:
-                done(None)
-            return row
 
         def written(why):
             if why is None:
@@ -75,8 +70,7 @@
         return row
 
     def on_row(self, row, raw):
-        if self.store is not None:
-            self.store.put([(OTHERS + f"{row.writer}/{row.key}".encode(), raw, 0)])
+        self.store.put([(OTHERS + f"{row.writer}/{row.key}".encode(), raw, 0)])
         self.hear_row(row)
 
     def on_member(self, one, was):
@@ -90,15 +84,14 @@
 
     def on_identity(self, old, new):
         """What the old identity wrote is on the disk as another writer's from now on."""
-        if self.store is not None:
-            items = []
-            for key, raw in list(self.store.range(OWN, OWN[:-1] + b"0")):
-                items += [(key, None, 0), (OTHERS + f"{old}/".encode() + key[len(OWN):], raw, 0)]
-            self.store.put([*items, (LIFE, self.link.id.partition("#")[2].encode(), 0)])
+        items = [self.life()]
+        for key, raw in self.store.range(OWN, OWN[:-1] + b"0"):
+            items += [(key, None, 0), (OTHERS + f"{old}/".encode() + key[len(OWN):], raw, 0)]
+        self.store.put(items)
         self.hear_identity(old, new)
 
-    def keep_life(self):
-        self.store.put([(LIFE, self.link.id.partition("#")[2].encode(), 0)])
+    def life(self):
+        return LIFE, self.link.life.encode(), 0
 
     # ---- for operators
 
--- a/lapiswing/fleet/link.py
+++ b/lapiswing/fleet/link.py
@@ -42,8 +42,7 @@
 
 class Link:
     def __init__(self, name, address, seeds, keys, chance, secret, send, now_us, life=None, zone="",
-                 figures=Figures(),
-                 on_row=None, on_member=None, on_log=None, on_identity=None):
+                 figures=Figures(), on_row=None, on_member=None, on_log=None, on_identity=None):
         """`life`: of the identity that the disk holds; None draws one. `chance()`: floats in [0, 1)."""
         self.name, self.address, self.keys = name, address, keys
         self.seeds = [s for s in seeds if s != address]
@@ -56,7 +55,7 @@
                        "dropped": 0, "identities": 0}
         self.now, self.compare_us, self.call_us, self.learn_us = now_us, now_us, now_us, now_us
         self.renewed_us, self.answers, self.answers_us = now_us - RENEW_US, float(ANSWERS_S), now_us
-        self.begin(f"{name}#{life or self.new_life()}", Rows, now_us)
+        self.begin(life or self.new_life(), now_us)
 
     def draw(self, bits):
         low = max(0, bits - 52)  # a float holds no more
@@ -65,11 +64,11 @@
     def new_life(self):
         return f"{self.draw(48):012x}"
 
-    def begin(self, identity, rows, now_us):
-        self.id = identity
-        self.rows = rows(identity)
-        self.seal = Seal(self.keys, identity, self.address, self.boot, self.secret)
-        self.members = Members(identity, self.address, self.zone, now_us, self.chance, self.say,
+    def begin(self, life, now_us):
+        self.life, self.id = life, f"{self.name}#{life}"
+        self.rows = Rows(self.id)
+        self.seal = Seal(self.keys, self.id, self.address, self.boot, self.secret)
+        self.members = Members(self.id, self.address, self.zone, now_us, self.chance, self.say,
                                self.member_changed, self.f)
         self.waiting = {}  # address -> [nonce, said, queue]
         self.learnt, self.seen_at = {}, {}  # id -> (version, whether that copy is sure); id -> address
@@ -133,7 +132,7 @@
         self.counts["identities"] += 1
         members = [m.raw for m in self.members.all.values()]
         newer = rows.newer
-        self.begin(f"{self.name}#{self.new_life()}", Rows, self.now)
+        self.begin(self.new_life(), self.now)
         for raw in rows.raws.values():  # the old identity's rows are those of another writer now
             self.rows.take(raw)
         for raw in members:
@@ -352,7 +351,7 @@
 
     def compared(self, sender, message):
         if message.members != self.digest_of_members():
-            for part in self.members.everyone(ask=message.first):
+            for part in self.members.everyone(ask=True):
                 self.say(sender, part)
         differing = self.rows.differing(message.buckets)
         if not differing:
@@ -379,7 +378,7 @@
             self.say(sender, Versions(message.buckets, self.rows.versions(message.buckets)[:HAVE], False))
 
     def member_changed(self, one, was):
-        if one.state in ("gone", "left"):
+        if not one.living:
             self.seal.tokens.pop(one.id, None)  # its next process gives another one
         self.on_member(one, was)
 
--- a/lapiswing/fleet/members.py
+++ b/lapiswing/fleet/members.py
@@ -49,6 +49,10 @@
             member.address, member.incarnation, member.state, member.zone)
         self.raw, self.since_us = raw, now_us
 
+    @property
+    def living(self):
+        return self.state in ("alive", "suspected")
+
     @property
     def order(self):
         return self.incarnation, RANKS[self.state]
@@ -63,7 +67,7 @@
         self.own = Member(me, address, 1, "alive", zone)
         self.all, self.line, self.seq = {}, [], 0
         self.news = {}  # id -> [raw, times told]
-        self.probe = None  # (seq, id, sent, answered by nacks wanted, got)
+        self.probe = None  # [seq, id, sent, helpers asked or None, nacks heard]
         self.asked = {}  # seq of ours -> (who asked, its seq, due, nacked)
         self.clumsy, self.next_us, self.last_us = 0, now_us, now_us
         self.left, self.refuted, self.refused = False, 0, 0
@@ -73,7 +77,7 @@
 
     def alive(self):
         """Ids of the others that are not gone: alive or suspected."""
-        return [m.id for m in self.all.values() if m.state in ("alive", "suspected")]
+        return [m.id for m in self.all.values() if m.living]
 
     def state_of(self, member):
         if member == self.me:
@@ -95,7 +99,7 @@
 
     def leave(self):
         self.left = True
-        self.own = msgspec.structs.replace(self.own, incarnation=self.own.incarnation, state="left")
+        self.own = msgspec.structs.replace(self.own, state="left")
         self.tell_self()
 
     def take(self, raw, now_us, sender):
@@ -141,8 +145,7 @@
             self.confirm(one, told.by or sender, now_us, raw)
 
     def make_room(self):
-        old = min((m for m in self.all.values() if m.state in ("gone", "left")), key=lambda m: m.since_us,
-                  default=None)
+        old = min((m for m in self.all.values() if not m.living), key=lambda m: m.since_us, default=None)
         if old is not None:
             self.drop(old.id)
         return old is not None
@@ -203,10 +206,8 @@
         out, size = [], 0
         most = ceil(self.f.times * log2(len(self.all) + 2))
         one = self.all.get(to)
-        first = [one.id] if one is not None and one.state != "alive" and one.id not in self.news else []
-        for name in first:
-            out.append(one.raw)
-            size += len(one.raw)
+        if one is not None and one.state != "alive" and one.id not in self.news:
+            out, size = [one.raw], len(one.raw)
         for name in sorted(self.news, key=lambda n: (n != to, self.news[n][1])):
             raw, told = self.news[name]
             if size + len(raw) > NEWS_BYTES:
@@ -252,7 +253,7 @@
         for one in [m for m in self.all.values() if m.due_us is not None and now_us >= m.due_us]:
             self.put(one, "gone", now_us)
         past = now_us - self.f.keep
-        for one in [m for m in self.all.values() if m.state in ("gone", "left") and m.since_us < past]:
+        for one in [m for m in self.all.values() if not m.living and m.since_us < past]:
             self.drop(one.id)
         self.look_at_probe(now_us)
         if now_us >= self.next_us and not self.left:
@@ -267,7 +268,7 @@
                 if not self.line:
                     return
             name = self.line.pop()
-            if name in self.all and self.all[name].state in ("alive", "suspected"):
+            if name in self.all and self.all[name].living:
                 self.seq += 1
                 self.probe = [self.seq, name, now_us, None, 0]
                 self.say(name, Ping(self.seq, self.some_news(name)))
--- a/lapiswing/fleet/messages.py
+++ b/lapiswing/fleet/messages.py
@@ -89,11 +89,10 @@
     rows: list[msgspec.Raw] = []
 
 
-class Compare(msgspec.Struct, omit_defaults=True):
-    """Digests of all members, and of rows by bucket. `own`: the writer's word on its own latest version."""
+class Compare(msgspec.Struct):
+    """Digests of all members, and of rows by bucket."""
     members: int
     buckets: list[int]
-    first: bool = True  # the other side says its own too
 
 
 class Versions(msgspec.Struct, omit_defaults=True):
@@ -112,7 +111,6 @@
 
 class Whose(msgspec.Struct):
     """What did I write, as far as you know?"""
-    pass
 
 
 class Yours(msgspec.Struct, omit_defaults=True):
--- a/lapiswing/fleet/rows.py
+++ b/lapiswing/fleet/rows.py
@@ -32,7 +32,6 @@
         self.sums = [0] * BUCKETS
         self.by_bucket = [set() for _ in range(BUCKETS)]
         self.newer = 0  # an own version that others know and this one did not write
-        self.refused = 0
 
     def write(self, key, value):
         """A row of the own identity, a version further. -> (Row, raw). It is not in the table, and so nobody
@@ -50,17 +49,17 @@
         """An own row that is on the disk now. -> the Row, or None where it is of another identity or a later
         one is here."""
         row = ROW.decode(raw)
+        return row if row.writer == self.me and self.is_new(row) and self.put(row, raw) else None
+
+    def is_new(self, row):
         old = self.table.get((row.writer, row.key))
-        if row.writer != self.me or old is not None and old.version >= row.version:
-            return None
-        return row if self.put(row, raw) else None
+        return old is None or old.version < row.version
 
     def put(self, row, raw):
         at = (row.writer, row.key)
         old = self.table.get(at)
         grown = len(raw) - len(self.raws.get(at, b""))
         if self.bytes + grown > MOST_BYTES or old is None and len(self.table) >= MOST_ROWS:
-            self.refused += 1
             return False
         bucket = bucket_of(*at)
         if old is not None:
@@ -86,18 +85,14 @@
             if row.version > self.version:
                 self.newer = max(self.newer, row.version)
             return None  # nobody tells the writer what it wrote
-        old = self.table.get((row.writer, row.key))
-        if old is not None and old.version >= row.version:
-            return None
-        return row if self.put(row, raw) else None
+        return row if self.is_new(row) and self.put(row, raw) else None
 
     def restore(self, raw):
         """From the own disk, the own rows among them. Raises ValueError."""
         row = ROW.decode(bytes(raw))
         if row.writer == self.me:
             self.version = max(self.version, row.version)
-        old = self.table.get((row.writer, row.key))
-        if old is None or old.version < row.version:
+        if self.is_new(row):
             self.put(row, bytes(raw))
 
     def latest_of(self, writer):
@@ -106,16 +101,6 @@
     def of(self, writer):
         return {key: row for (w, key), row in self.table.items() if w == writer and row.value is not None}
 
-    def forget(self, writer):
-        """Takes out all rows of a writer; they would come back from whoever still has them, so only once
-        nobody needs them."""
-        for at in [at for at in self.table if at[0] == writer]:
-            bucket = bucket_of(*at)
-            self.sums[bucket] ^= mark(*at, self.table[at].version)
-            self.by_bucket[bucket].discard(at)
-            self.bytes -= len(self.raws.pop(at))
-            del self.table[at]
-
     # ---- comparison
 
     def digests(self):
@@ -129,17 +114,12 @@
                 for w, k in sorted(self.by_bucket[i])]
 
     def newer_than(self, buckets, have):
-        """-> raws of these buckets that the other side lacks or has older, and [writer, key] of what it has
-        newer."""
-        theirs = {(w, k): v for w, k, v in have}
-        send, want = [], 0
+        """-> raws of these buckets that the other side lacks or has older, and whether it has any newer."""
+        theirs, send = {(w, k): v for w, k, v in have}, []
         for i in buckets:
             if not 0 <= i < BUCKETS:
                 continue
             for at in sorted(self.by_bucket[i]):
                 if self.table[at].version > theirs.get(at, 0):
                     send.append(self.raws[at])
-        for at, version in theirs.items():
-            old = self.table.get(at)
-            want += old is None or old.version < version
-        return send, want
+        return send, any(at not in self.table or self.table[at].version < v for at, v in theirs.items())
--- a/lapiswing/lab/fleetsim.py
+++ b/lapiswing/lab/fleetsim.py
@@ -12,32 +12,22 @@
 
 from lapiswing.fleet.link import TICK_US, Link
 from lapiswing.fleet.members import Figures
+from lapiswing.standin.wire import Fates
 
 MS = 1000
 LOOK_US = 10 * MS  # how often `run` asks whether what it waits for has come about
 KEY = b"a key of the simulated fleet...."
 
 
-class Network:
-    """What happens to one message: lost, late, twice, spoilt, cut off. Times in us."""
+class Network(Fates):
+    """One bad link's faults for all of them, and parts that are cut off. Times in us."""
 
     def __init__(self, rng):
-        self.rng, self.loss, self.delay, self.twice, self.flip = rng, 0.0, (200, 2000), 0.0, 0.0
+        super().__init__(rng, (200, 2000))
         self.cuts = []  # (from, to): sets of members that don't reach each other this way
 
-    def fates(self, sender, target, data):
-        """-> [(after us, bytes)], one for each copy that arrives."""
-        if any(sender in a and target in b for a, b in self.cuts) or self.rng.random() < self.loss:
-            return []
-        out = []
-        for _ in range(2 if self.twice and self.rng.random() < self.twice else 1):
-            copy = data
-            if self.flip and self.rng.random() < self.flip:
-                spoilt = bytearray(data)
-                spoilt[int(self.rng.random() * len(data))] ^= 1 << int(self.rng.random() * 8)
-                copy = bytes(spoilt)
-            out.append((int(self.delay[0] + self.rng.random() * (self.delay[1] - self.delay[0])), copy))
-        return out
+    def reaches(self, sender, target):
+        return not any(sender in a and target in b for a, b in self.cuts)
 
 
 class Node:
@@ -48,15 +38,14 @@
 
 
 class Fleet:
-    def __init__(self, n, seed, seeds=3, figures=Figures(), names=None):
+    def __init__(self, n, seed, seeds=3, figures=Figures()):
         self.seed, self.figures = seed, figures
         self.net = Network(np.random.default_rng([seed, 1]))
         self.rng = np.random.default_rng([seed, 2])
         self.nodes = [Node(i) for i in range(n)]
         self.seeds = [self.address(i) for i in range(min(seeds, n))]
         self.now, self.queue, self.order, self.starts = 1_000_000, [], count(), count()
-        self.checks, self.messages = [], 0
-        self.extra = []  # (node index, row) handed on to a test's own part of each member
+        self.messages = 0
         self.on_row = lambda node, row, raw: None
 
     @staticmethod
@@ -88,7 +77,7 @@
         return link
 
     def keep_identity(self, node):
-        node.disk["life"] = node.link.id.partition("#")[2]
+        node.disk["life"] = node.link.life
 
     def start_all(self, within_ms=1000):
         for i in range(len(self.nodes)):
@@ -119,9 +108,9 @@
         a, b = address.partition(":")[0].split(".")[2:]
         target = int(a) * 250 + int(b)
         self.messages += 1
-        if not 0 <= target < len(self.nodes):
+        if not 0 <= target < len(self.nodes) or not self.net.reaches(node.index, target):
             return
-        for after, copy in self.net.fates(node.index, target, data):
+        for after, copy in self.net.fates(data):
             self.at(after, self.arrive, target, copy)
 
     def arrive(self, target, data):
@@ -160,8 +149,6 @@
         while self.queue and self.queue[0][0] <= end:
             self.now, _, call, args = heapq.heappop(self.queue)
             call(*args)
-            for check in self.checks:
-                check(self)
             if until is not None and self.now >= looked + LOOK_US:
                 looked = self.now
                 if until():
--- a/lapiswing/settings/load.py
+++ b/lapiswing/settings/load.py
@@ -184,9 +184,7 @@
         yield "chunk_bytes", "must lie between 4 KiB and 4 MiB"
     if s.memory_bytes < s.chunk_bytes:
         yield "memory_bytes", "is less than one chunk"
-    for i, key in enumerate(s.key):
-        if len(key) < 16:
-            yield f"key[{i}]", "is shorter than 16 characters (`lapiswing keys transfer` makes one)"
+    yield from wrong_keys("key", s.key, " (`lapiswing keys transfer` makes one)")
     if s.HasField("tls"):
         for name in ("certificate_file", "key_file", "authority_file"):
             if not getattr(s.tls, name):
@@ -291,9 +289,7 @@
     if not 65536 <= s.store.segment_bytes <= 1 << 30:
         yield "store.segment_bytes", "must lie between 64 KiB and 1 GiB"
     for name in ("key", "control_key"):
-        for i, key in enumerate(getattr(s.admin, name)):
-            if len(key) < 16:
-                yield f"admin.{name}[{i}]", "is shorter than 16 characters"
+        yield from wrong_keys(f"admin.{name}", getattr(s.admin, name))
     if s.admin.path and s.admin.path == s.admin.control_path:
         yield "admin.control_path", "is the same as path: whoever may look could act"
     for i, key in enumerate(s.sessions.token_key):
@@ -320,13 +316,17 @@
         yield from wrong_address(f"fleet.peer[{i}]", peer)
     if not f.key:
         yield "fleet.key", "is missing: anybody could speak for a copy"
-    for i, key in enumerate(f.key):
-        if len(key) < 16:
-            yield f"fleet.key[{i}]", "is shorter than 16 characters"
+    yield from wrong_keys("fleet.key", f.key)
     if not s.gateway.name or "#" in s.gateway.name or len(s.gateway.name) > 40:
         yield "gateway.name", "a copy of a fleet needs a name of its own, 40 characters at most and without #"
 
 
+def wrong_keys(field, keys, more=""):
+    for i, key in enumerate(keys):
+        if len(key) < 16:
+            yield f"{field}[{i}]", f"is shorter than 16 characters{more}"
+
+
 def wrong_log(log):
     if log.level not in ("debug", "info", "warning", "error"):
         yield "log.level", f"{log.level!r} is none of debug, info, warning, error"
--- a/tests/contracts/test_stores.py
+++ b/tests/contracts/test_stores.py
@@ -3,20 +3,18 @@
 import random
 
 import pytest
+from contracts import those
 from contracts.stores import STORES
 
 from lapiswing.store import StoreError
 
 
-def those(*can):
-    """A fixture of the stores that can do this."""
-    @pytest.fixture(params=[s for s in STORES if all(hasattr(s, c) for c in can)], ids=lambda s: s.__name__)
-    def place(request, tmp_path):
-        return request.param(tmp_path)
-    return place
+def made(request, tmp_path):
+    return request.param(tmp_path)
 
 
-place, filled, powered = those(), those("fill"), those("cut")
+place, filled, powered = (make(made) for make in (
+    those(STORES), those(STORES, "fill"), those(STORES, "cut")))
 
 
 def steps(seed, n=40):
@@ -28,6 +26,12 @@
         yield [(b"k%d" % rng.randrange(10), value(), 0) for _ in range(rng.choice((1, 2, 4)))]
 
 
+def put_all(store, model, batches):
+    for items in batches:
+        store.put(items)
+        apply(model, items)
+
+
 def apply(model, items):
     for key, value, _ in items:
         model.pop(key, None) if value is None else model.__setitem__(key, value)
@@ -57,9 +61,7 @@
 
 def test_a_snapshot_stays_while_all_changes(place):
     store, model = place.open(), {}
-    for items in steps(2):
-        store.put(items)
-        apply(model, items)
+    put_all(store, model, steps(2))
     view, then = store.snapshot(), dict(model)
     for items in steps(3):
         store.put(items)
@@ -85,9 +87,7 @@
 
 def test_reading_goes_on_while_compacting(place):
     store, model = place.open(), {}
-    for items in steps(4, 120):
-        store.put(items)
-        apply(model, items)
+    put_all(store, model, steps(4, 120))
     for _ in range(30):
         for _ in store.compact():
             assert dict(store.range()) == model
@@ -101,9 +101,7 @@
 def test_a_full_disk_refuses_whole_batches_and_goes_on_when_there_is_room(filled):
     place = filled
     store, model = place.open(), {}
-    for items in steps(5, 10):
-        store.put(items)
-        apply(model, items)
+    put_all(store, model, steps(5, 10))
     place.fill()
     before, told = dict(store.range()), []
     store.put([(b"k1", b"y" * 500, 0), (b"new", b"y" * 500, 0)], told.append)
@@ -134,9 +132,7 @@
 
 def test_what_was_acknowledged_is_there_after_a_start(place):
     store, model = place.open(), {}
-    for items in steps(6, 60):
-        store.put(items)
-        apply(model, items)
+    put_all(store, model, steps(6, 60))
     store.close()
     again = place.open()
     assert dict(again.range()) == (model if place.lasts else {})
--- a/tests/contracts/test_transports.py
+++ b/tests/contracts/test_transports.py
@@ -1,34 +1,37 @@
 """What the fleet link may rely on, of every transport: a message arrives whole or not at all, nothing blocks,
 everything is bounded. Loss, repetition and another order are allowed where the link between is bad; the
 link's rows and members bear them."""
-import pytest
+from contracts import those
 from contracts.transports import TRANSPORTS
 
 from lapiswing.fleet.messages import MOST
 
 
-def those(*can, **are):
-    @pytest.fixture(params=[t for t in TRANSPORTS if all(hasattr(t, c) for c in can) and all(
-        getattr(t, k) == v for k, v in are.items())], ids=lambda t: t.__name__)
-    def net(request):
-        net = request.param(1)
-        yield net
-        net.close()
-    return net
+def begun(request):
+    net = request.param(1)
+    yield net
+    net.close()
 
 
-net, good, ordered, stallable = those(), those(good=True), those(ordered=True), those("stall", good=True)
+net, good, ordered, stallable = (make(begun) for make in (
+    those(TRANSPORTS), those(TRANSPORTS, good=True), those(TRANSPORTS, ordered=True),
+    those(TRANSPORTS, "stall", good=True)))
 
 
 def messages(n):
     return [b"%06d" % i + bytes([i % 256]) * (i * 7 % 900) for i in range(n)]
 
 
-def test_what_arrives_was_sent_whole_and_some_does(net):
-    a, b = net.end("a"), net.end("b")
-    sent = messages(200)
+def send_all(net, a, b, n):
+    sent = messages(n)
     for data in sent:
         a.send(net.way(a, b), data)
+    return sent
+
+
+def test_what_arrives_was_sent_whole_and_some_does(net):
+    a, b = net.end("a"), net.end("b")
+    sent = send_all(net, a, b, 200)
     net.run(3000, lambda: len(b.got) >= 100)
     net.run(100)
     assert set(b.got) <= set(sent) and len(set(b.got)) >= 100 and not a.got
@@ -36,9 +39,7 @@
 
 def test_a_good_link_loses_and_repeats_nothing(good):
     a, b = good.end("a"), good.end("b")
-    sent = messages(300)
-    for data in sent:
-        a.send(good.way(a, b), data)
+    sent = send_all(good, a, b, 300)
     good.run(3000, lambda: len(b.got) >= 300)
     good.run(50)
     assert sorted(b.got) == sorted(sent)
@@ -100,8 +101,7 @@
 
 def test_after_close_nothing_is_heard_or_said_and_closing_twice_does_no_harm(net):
     a, b = net.end("a"), net.end("b")
-    for data in messages(100):
-        a.send(net.way(a, b), data)
+    send_all(net, a, b, 100)
     b.close()
     b.close()
     before = len(b.got)
--- a/tests/contracts/transports.py
+++ b/tests/contracts/transports.py
@@ -110,7 +110,7 @@
     def way(self, a, b):
         if (a, b) not in self.wires:
             wire = self.wires[a, b] = Wire(self.loop, b.address, self.seed)
-            wire.loss, wire.twice, wire.delay_ms = 0.3, 0.2, (0, 30)
+            wire.loss, wire.twice, wire.delay = 0.3, 0.2, (0, 30_000)
         return self.wires[a, b].address
 
 
--- a/tests/test_fleet_host.py
+++ b/tests/test_fleet_host.py
@@ -4,6 +4,7 @@
 import types
 
 import pytest
+from platform_door import Quiet
 from simfiles import SimFiles
 
 from lapiswing.fleet.host import OTHERS, OWN, Host
@@ -18,16 +19,6 @@
 """
 
 
-class Quiet:
-    def __init__(self):
-        self.lines = []
-
-    def info(self, event, **fields):
-        self.lines.append((event, fields))
-
-    warning = error = info
-
-
 class Site:
     """Copies by name, each with a store of its own."""
 
