A release looks at all servers only where its holder does not answer

Seen on reading the change again: each release ranked all servers by hash before it turned to its holder, and again for each further server of a wave: 0.15 ms at 100 servers, most of it for nothing, on gateways with a part of a core. At fault: Release.send in node/servers.py.

Changed: the holder alone is the line of the first try, unless it is known to be silent; a wave is ranked once. Who is told, and when, stays as it is; ties are drawn less often, so that single choices among equals differ. A filter by known addresses went: both come from the same list at once.

Measured: 0.2 us in place of 151 us where the holder answers (100 servers). All 873 tests.

--- a/lapiswing/node/reach.py
+++ b/lapiswing/node/reach.py
@@ -40,6 +40,14 @@
         if server in self.zones:
             self.silent_us[server] = now_us
 
+    def quiet(self, name):
+        """It was silent since it was last heard."""
+        return self.silent_us.get(name, 0) > self.heard_us.get(name, 0)
+
+    def first(self, holder):
+        """Whom to tell first, in a line: mostly the holder, without a look at all the others."""
+        return [holder] if holder in self.zones and not self.quiet(holder) else self.order(holder)
+
     def order(self, holder):
         """All servers. First the holder, unless it is known to be silent; then zone by zone in turn, so that
         the first few are not all behind one cut: zones that have answered since one of theirs was silent, the
@@ -48,10 +56,7 @@
         self.draws += 1
         draw = b"/%d/%d" % (self.salt, self.draws)
         chance = {name: mixed(name.encode() + draw) for name in self.zones}
-
-        def quiet(name):
-            return self.silent_us.get(name, 0) > self.heard_us.get(name, 0)
-        by_zone = {}
+        by_zone, quiet = {}, self.quiet
         for name, zone in self.zones.items():
             by_zone.setdefault(zone, []).append(name)
         latest = {zone: [max(known.get(n, 0) for n in names) for known in (self.heard_us, self.silent_us)]
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -223,13 +223,13 @@
         for small in self.out[-reach.AT_ONCE:]:
             if small.done:
                 self.servers.silent(small.server)
+        line = (self.servers.reach.order if self.wave else self.servers.reach.first)(self.holder)
         for _ in range(reach.more_at(self.wave)):
-            self.send()
+            self.send(line)
         self.wave += 1
 
-    def send(self):
+    def send(self, line):
         servers = self.servers
-        line = [n for n in servers.reach.order(self.holder) if n in servers.addresses]
         server = next((n for n in line if n not in self.tried), None)
         if server is None:  # all were tried; some may be back
             self.tried.clear()
@@ -248,7 +248,7 @@
 
     def again(self):
         if self.timer is not None and self.servers.addresses and len(self.tried) < len(self.servers.addresses):
-            self.send()
+            self.send(self.servers.reach.order(self.holder))
 
     def end(self):
         if self.timer is not None:
