No attempt begins for a client that has gone, at whatever stage its request is

Ruled out: back pressure alone. A client's stream that takes nothing is still read; the test that holds one up found only the flood behind it.

Changed: before an attempt is sent its client's connection is read to where it stands; what the kernel has not got in full is withdrawn when the client goes (`moot`, it never ran); what stands behind an open request past the bound is read and not kept, the connection ends with the answer, and is cut off where more comes than one request may be. The latter could harm a client that pipelines far ahead.

Costs one read an attempt.

--- a/lapiswing/engine/forward.py
+++ b/lapiswing/engine/forward.py
@@ -9,6 +9,10 @@
     def __init__(self, owner):
         self.owner = owner
 
+    @property
+    def unsent(self):
+        return not self.over and self.exchange.unsent
+
     def pause(self):
         self.exchange.pause()
 
--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -11,6 +11,7 @@
     on_pushed_back(us)         final
     on_aborted(why)            final, in a begun stream too
     full                       whether it wants no more for now
+    look()                     hears at once whether its client has gone, and then calls `left`
 Exactly one of the final ones comes, written by `finish`, which can't run twice."""
 from typing import Any, NamedTuple
 
@@ -213,6 +214,9 @@
         self.counts["left"] += 1
         self.end(req, "left", None)
         self.events.append(("client_left", req.rid))
+        # What was not sent yet is not sent any more, also where the settings let nothing that is out be taken back.
+        for number in [n for n, out in req.outs.items() if out.forward is not None and out.forward.unsent]:
+            self.take_back(req, number, "moot")
         if req.begun is not None:
             self.take_back(req, req.begun, "cancelled")
 
@@ -260,6 +264,10 @@
 
     def forward(self, rid, server, timeout_us, up_us=None):
         req = self.reqs.get(rid)
+        if req is not None:
+            # Guards against an attempt for a client that went while the decisions took their time. Costs a read.
+            for listener in list(req.listeners):
+                listener.look()
         if req is None or req.over:
             self.events.append(("outcome", rid, req.sends if req else 0, server, "moot", 0, True, None, None))
             if req:
@@ -483,7 +491,7 @@
             req.state = (out.server, forward.params, forward.name, again_us)
         if req.state is not None and not req.outs:
             req.held_us = now
-        elif out.stage == "read" and code not in ("full", "unreachable"):
+        elif out.stage == "read" and code not in ("full", "unreachable", "moot"):
             # It may have left a state behind that nobody will name again. Where states have their req's name a release
             # drops all of them, so it waits until nothing of the req is out.
             if self.engine.by_req:
@@ -655,6 +663,7 @@
 class Waiting:
     """Stands for a forward that is not sent yet."""
     report = answer = None
+    unsent = True
 
     def __init__(self, name):
         self.name, self.over = name, False
--- a/lapiswing/gateway/fronts/listener.py
+++ b/lapiswing/gateway/fronts/listener.py
@@ -11,6 +11,9 @@
             self.exchange.on_left = self.left
             self.exchange.on_drained = self.drained
 
+    def look(self):
+        self.exchange.look()
+
     def left(self):
         self.core.left(self.req, self)
 
--- a/lapiswing/gateway/fronts/websocket.py
+++ b/lapiswing/gateway/fronts/websocket.py
@@ -433,6 +433,9 @@
     def full(self):
         return not self.whole and self.front.book.full(self.session, self.stream)
 
+    def look(self):
+        pass  # a session outlives its connection
+
     def on_begin(self):
         pass
 
--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -44,6 +44,11 @@
         if self.conn is not None and not self.over:
             self.conn.stream.resume()
 
+    @property
+    def unsent(self):
+        """Whether the kernel has not got all of the request yet: given up now, it is proved never to have run."""
+        return not self.over and (self.conn is None or self.conn.stream.sent - self.conn.sent_before < self.size)
+
     @property
     def in_chunk(self):
         """Whether a chunk has begun and not ended: its rest should be on the way."""
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -48,6 +48,11 @@
     def full(self):
         return self.conn.stream.full
 
+    def look(self):
+        """Hears now, and not at the loop's next turn, whether its client has gone."""
+        if not self.over:
+            self.conn.stream.catch_up()
+
     def respond(self, status, body=b"", content_type=b"application/json", more=()):
         """A whole answer at once."""
         if self.begun or self.over:
@@ -108,7 +113,7 @@
 
 class Connection:
     """Owner of one client's stream. Requests are answered in order; while one is being answered, what comes behind
-    it waits unparsed, up to a bound past which the stream is not read."""
+    it waits unparsed, up to a bound past which it is passed over and the connection ends with the answer."""
 
     def __init__(self, server, stream, peer):
         self.server, self.stream, self.peer = server, stream, peer
@@ -117,16 +122,23 @@
         self.left = 0  # bytes of that body
         self.since_us = self.born_us = server.loop.now
         self.served = False  # whether a whole request has come in
+        self.passed_over = 0  # bytes behind the open request that were read and not kept
         self.phase = "idle"  # idle, head, body, answer: which time-out counts
         stream.owner = self
 
     def on_data(self, data):
         self.raw += data
-        if self.current is not None:
-            if len(self.raw) > self.server.limits.pipelined_bytes:
-                self.stream.pause()  # it can't be seen to leave now, but it can't make us grow either
-            return
-        self.parse()
+        if self.current is None:
+            return self.parse()
+        limits = self.server.limits
+        if len(self.raw) > limits.pipelined_bytes:
+            # Read on, so that it can be seen to leave, and not kept, so that it can't make us grow. Could harm a client
+            # that sends far ahead: it has to ask again for what stood behind this answer.
+            self.passed_over += len(self.raw)
+            self.raw.clear()
+            self.current.keep = False
+            if self.passed_over > limits.head_bytes + limits.body_bytes:  # more than any one request may be
+                self.stream.abort()
 
     def parse(self):
         try:
@@ -248,7 +260,6 @@
         if not exchange.keep or self.server.closing:
             return self.stream.close()
         self.enter("idle")
-        self.stream.resume()
         if self.raw:
             self.server.loop.soon(self.parse_guarded)
 
--- a/lapiswing/loop/stream.py
+++ b/lapiswing/loop/stream.py
@@ -119,6 +119,14 @@
             pass
         return True
 
+    def catch_up(self):
+        """Reads all that has come in by now, an end behind it too, and not at the loop's next turn."""
+        for _ in range(self.turns):
+            before = self.received
+            self.read()
+            if self.closed or self.ended or not self.reading or self.received == before:
+                return
+
     NOT_NOW = (BlockingIOError, InterruptedError)
 
     def write(self, data):
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -320,7 +320,7 @@
 
 class Nowhere:
     """In place of an exchange with a server that has left the list meanwhile."""
-    in_chunk = False
+    in_chunk, unsent = False, True
 
     def __init__(self, loop, forward):
         self.forward = forward
--- a/lapiswing/standin/platform.py
+++ b/lapiswing/standin/platform.py
@@ -24,6 +24,7 @@
         self.events, self.pause_us, self.read_us = 3, 2 * MS, 2 * MS
         self.reading = set()  # ids whose read is under way; a release reaches these too
         self.seen, self.states, self.left = [], set(), 0  # (method, path, id, body); ids held; requests given up
+        self.seen_us = []  # when each of `seen` came
         self.server = serve(platform.loop, self.app)
         self.address = "127.0.0.1:%d" % self.server.listener.address[1]
 
@@ -40,6 +41,7 @@
     def app(self, exchange):
         rid = (exchange.header(b"req-id") or b"").decode()
         self.seen.append((exchange.method, exchange.target, rid, exchange.body))
+        self.seen_us.append(self.platform.loop.clock.now_us())
         if self.fault is not None and self.fault(exchange):
             return
         if exchange.path.startswith(b"/bootstrap/rooms/"):
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,216 @@
+"""A client that closes its connection has gone: no attempt for it begins afterwards, at whatever stage its request is."""
+import socket
+import struct
+
+import pytest
+from platform_door import BODY, SETTINGS, Door, head
+
+from lapiswing.http1 import client as http1_client
+from lapiswing.interface import Server as Row
+
+MS = 1000
+PIPELINED = head("p1") + BODY
+
+
+def fin(client):
+    client.close()
+
+
+def reset(client):
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.close()
+
+
+def behind_pipelined(client):
+    client.send(PIPELINED)
+    client.close()
+
+
+def behind_a_flood(client):
+    client.send(PIPELINED * 40)  # more than is kept of what comes behind an open request
+    client.close()
+
+
+WAYS = {"FIN": fin, "RST": reset, "behind a pipelined request": behind_pipelined, "behind a flood": behind_a_flood}
+
+
+def attempts(door):
+    """When the last byte of each attempt reached a server."""
+    return [at for s in door.platform.servers.values() for at, row in zip(s.seen_us, s.seen) if row[0] == b"POST"]
+
+
+def leaves(door, client, way):
+    """Closes, lets the loop go on past every time-out, and checks that no attempt came more than 50 ms later."""
+    WAYS[way](client)
+    left_us = door.loop.clock.now_us()
+    door.loop.run_until(lambda: False, 600 * MS)
+    late = [at - left_us for at in attempts(door) if at > left_us + 50 * MS]
+    assert not late, late
+    door.settled()
+
+
+class LateConnect(http1_client.connect):
+    """A connection that comes up late."""
+
+    def __init__(self, loop, address, timeout_us, done, **more):
+        self.late_loop = loop
+        super().__init__(loop, address, timeout_us, done, **more)
+
+    def on_ready(self, mask):
+        self.loop.watch(self.sock, 0, None)
+        self.late_loop.call_later(150 * MS, self.come_up, mask)
+
+    def come_up(self, mask):
+        if self.done is not None:
+            super().on_ready(mask)
+
+
+@pytest.fixture(params=[True, False], ids=["cancel", "no-cancel"])
+def cancel(request, monkeypatch):
+    """Also where the settings let no attempt that is out be taken back."""
+    monkeypatch.setitem(SETTINGS, "Limits", {**SETTINGS["Limits"], "Cancel": request.param})
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_leaves_before_its_request_was_looked_at(tmp_path, way, cancel):
+    with Door(tmp_path) as door:
+        client = door.ask("a1")
+        leaves(door, client, way)
+        assert not attempts(door) and not door.core.reqs
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_leaves_while_its_prefill_runs(tmp_path, way, cancel):
+    with Door(tmp_path) as door:
+        reader = door.platform.servers["s-1"]
+        reader.read_us = 200 * MS
+        client = door.ask("a1")
+        door.until(lambda: reader.seen)
+        leaves(door, client, way)
+        assert len(attempts(door)) == 1
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_leaves_as_its_prefill_ends(tmp_path, way, cancel):
+    with Door(tmp_path) as door:
+        reader = door.platform.servers["s-1"]
+        client = door.ask("a1")
+
+        def fault(exchange):  # its answer and the client's close reach the gateway in one turn
+            if exchange.method != b"POST":
+                return False
+            reader.states.add("a1")
+            exchange.json(202, {"cached_tokens": 0})
+            exchange.conn.stream.flush()
+            WAYS[way](client)
+            return True
+        reader.fault = fault
+        door.until(lambda: reader.seen)
+        door.loop.run_until(lambda: False, 300 * MS)
+        assert len(attempts(door)) == 1
+        door.settled()
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_leaves_while_a_connection_comes_up(tmp_path, way, cancel, monkeypatch):
+    monkeypatch.setattr(http1_client, "connect", LateConnect)
+    with Door(tmp_path) as door:
+        client = door.ask("a1")
+        door.until(lambda: door.core.counts["forwards"])
+        leaves(door, client, way)
+        assert not attempts(door)
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_leaves_while_a_retry_waits_for_its_connection(tmp_path, way, cancel, monkeypatch):
+    with Door(tmp_path, ("both", "both")) as door:
+        def fault(exchange):
+            if exchange.method != b"POST":
+                return False
+            monkeypatch.setattr(http1_client, "connect", LateConnect)
+            exchange.respond(503, b"", more=[(b"srv-declined", b"1")])
+            return True
+        for server in door.platform.servers.values():
+            server.fault = fault
+        client = door.ask("a1")
+        door.until(lambda: door.core.counts["forwards"] == 2)
+        leaves(door, client, way)
+        assert len(attempts(door)) == 1
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_leaves_while_a_list_of_1024_servers_is_worked_in(tmp_path, way, cancel):
+    """The list holds the loop for longer than a client that has gone may be served."""
+    with Door(tmp_path, ("both", "both")) as door:
+        rows = door.node.rows
+        client = door.ask("a1")
+        door.until(lambda: door.node.server.connections)
+        near = list(rows.rows.values())
+        rows.rows |= {f"x-{i}": Row(f"x-{i}", 0, 0, 2, 1.0, 0, "draining") for i in range(1022)}
+        taken = door.core.take
+
+        def take(spec, listener):  # the list and the request are in one turn; the client goes while it is worked in
+            req = taken(spec, listener)
+            door.node.on_rows()
+            on_servers = door.core.router.on_servers
+
+            def slow(*args):
+                on_servers(*args)
+                WAYS[way](client)
+            door.core.router.on_servers = slow
+            door.core.events.insert(0, door.core.events.pop())
+            return req
+        door.core.take = take
+        door.until(lambda: len(door.core.router.machines) == 1024)
+        door.loop.run_until(lambda: False, 300 * MS)
+        assert not attempts(door) and near
+        door.settled()
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_leaves_while_its_stream_is_held_up(tmp_path, way, cancel):
+    """It takes nothing of its stream, so its server is not read; then it goes: the server is given up."""
+    with Door(tmp_path, ("both",)) as door:
+        server = door.platform.servers["s-1"]
+        server.events, server.pause_us = 100_000, 0
+        server.event = lambda number, of=type(server).event: of(number).replace(b"w", b"w" * 2000, 1)
+        client = door.client()
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        door.until(lambda: door.node.server.connections)
+        conn, = door.node.server.connections
+        conn.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.send(head("a1") + BODY)
+        door.until(lambda: any(r.paused for r in door.core.reqs.values()))
+        WAYS[way](client)
+        door.until(lambda: not door.core.reqs, 1_000_000)
+        assert len(attempts(door)) == 1
+
+
+def test_what_comes_behind_an_open_request_is_bounded(tmp_path):
+    """Seen in the code: past its bound the connection was not read any more, and could not be seen to leave."""
+    with Door(tmp_path, ("both",)) as door:
+        door.platform.servers["s-1"].pause_us = 100 * MS
+        client = door.ask("a1")
+        door.until(lambda: client.status)
+        client.send(PIPELINED * 20)  # within what one request may be
+        client.whole()
+        assert client.status == 200 and client.got.endswith(b"0\r\n\r\n")  # the answer is whole, then the end
+        door.until(lambda: client.look() and client.closed)
+        assert client.got.count(b"HTTP/1.1 ") == 1 and len(attempts(door)) == 1
+        client = door.ask("a2")
+        door.until(lambda: client.status)
+        conn, = door.node.server.connections
+        sent = 0
+        try:
+            while sent < 8 << 20:  # far more: it is cut off
+                client.sock.setblocking(False)
+                try:
+                    sent += client.sock.send(PIPELINED * 20)
+                except BlockingIOError:
+                    pass
+                door.loop.turn(1000)
+                assert len(conn.raw) < 256 * 1024
+        except OSError:
+            pass
+        assert sent < 8 << 20 and not door.node.server.connections
+        door.settled()
