Closes that cross with what a client sends destroy no answer and take no request

Changed: a lingering close, 1 s and one request's bytes at the most, where an answer ends a connection that still brings bytes; room is made of lingering ones first. The accept queue is taken before the port closes; half a request is waited for as long as kept connections are; a stream's client that was not told of the end gets its next request answered. TLS streams have a look of their own for bytes that wait.

Left as it is: idle connections close at once. The platform's clients send again what crosses such a close unread; to read it there would be to take it.

--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -25,6 +25,7 @@
     pipelined_bytes: int = 65536
     connections: int = 4096
     first_us: int | None = None  # from a connection's opening, for the whole of its first request
+    linger_us: int = 1_000_000  # after an answer that ends its connection while its client still sends
     spare_us: int = 2_000_000  # an idle connection this old may be closed when connections run short
 
 
@@ -72,6 +73,7 @@
         """Starts an answer of unknown length: chunked, or to a 1.0 client until the connection's end."""
         self.begun = True
         self.chunked = self.version == b"1.1"
+        self.keep = self.keep and not self.conn.server.closing
         if self.chunked:
             fields = [*fields, (b"transfer-encoding", b"chunked")]
         else:
@@ -122,11 +124,14 @@
         self.left = 0  # bytes of that body
         self.since_us = self.born_us = server.loop.now
         self.served = False  # whether a whole request has come in
+        self.cut_short = False  # whether a request was refused before it was whole
         self.passed_over = 0  # bytes behind the open request that were read and not kept
         self.phase = "idle"  # idle, head, body, answer: which time-out counts
         stream.owner = self
 
     def on_data(self, data):
+        if self.stream.closing:
+            return
         self.raw += data
         if self.current is None:
             return self.parse()
@@ -257,18 +262,29 @@
         if exchange is not self.current:
             return
         self.current = None
-        if not exchange.keep or self.server.closing:
-            return self.stream.close()
+        # A client that was not told of the end (its answer began before) may have sent its next request: that is taken.
+        if not exchange.keep or self.server.closing and not self.heard_more():
+            return self.close()
         self.enter("idle")
         if self.raw:
             self.server.loop.soon(self.parse_guarded)
 
+    def heard_more(self):
+        return bool(self.raw) or self.stream.pending()
+
+    def close(self):
+        """After the last answer."""
+        limits, more = self.server.limits, self.cut_short or self.passed_over or self.heard_more()
+        self.enter("idle")
+        self.stream.close(limits.linger_us if more else 0, limits.head_bytes + limits.body_bytes)
+
     def parse_guarded(self):
         if not self.stream.closed:
             self.server.loop.guard(self.stream, self.parse)
 
     def refuse(self, status, why):
         self.raw.clear()
+        self.cut_short = True
         exchange = self.exchange or Exchange(self, b"GET", b"*", [], b"1.1")
         self.exchange, self.parser = None, None
         exchange.keep = False
@@ -277,6 +293,12 @@
         exchange.json(status, {"error": {"message": why, "type": "invalid_request_error", "param": None,
                                          "code": "bad_http"}})
 
+    def busy(self):
+        stream = self.stream
+        if stream.closing:
+            return bool(stream.waiting) or stream.lingering is not None
+        return self.current is not None or self.exchange is not None or bool(stream.waiting) or self.heard_more()
+
     def enter(self, phase):
         if phase != self.phase:
             self.phase, self.since_us = phase, self.server.loop.now
@@ -284,6 +306,8 @@
     def overdue(self, now):
         """Called now and then by the server."""
         limits, past = self.server.limits, now - self.since_us
+        if self.stream.lingering is not None:
+            return  # it has its own time
         if self.stream.waiting and now - self.stream.moved_us > limits.stall_us:
             return self.stream.abort()
         if not self.served and limits.first_us is not None and now - self.born_us > limits.first_us:
@@ -348,15 +372,18 @@
             self.thin()
 
     def make_room(self):
-        """Connections run short: closes one that has said nothing yet, else the longest idle one, else one whose
-        request has been half here for long. Guards usual clients against hundreds that connect and say nothing; could
+        """Connections run short: closes one that only lingers, else one that has said nothing yet, else the longest
+        idle one, else one whose request has been half here for long. Guards usual clients against hundreds that connect and say nothing; could
         harm a client that is slow to say its first word, so the oldest goes first, and what came in is looked for."""
         now, spare_us = self.loop.now, self.limits.spare_us
         found = []
         for c in self.connections:
+            age = now - c.since_us
+            if c.stream.lingering is not None:
+                found.append((-1, -age, c))
+                continue
             if c.stream.closing or c.phase == "answer":
                 continue
-            age = now - c.since_us
             if c.phase == "idle":
                 found.append(((0 if not c.served else 1 if age > spare_us else 2), -age, c))
             elif age > spare_us // 4:
@@ -367,7 +394,7 @@
         for rank, age, c in found[:LOOKED_AT]:
             if closed and (rank > 2 or -age < spare_us // 8):
                 return
-            if not c.stream.pending():
+            if rank < 0 or not c.stream.pending():
                 c.stream.abort()
                 closed += 1
 
@@ -380,12 +407,17 @@
                 c.stream.close()
 
     def drain(self):
-        """No further requests: idle connections close now, the others after their answer."""
+        """No further requests: idle connections close now, the others after their answer. A request that has come in,
+        whole or in part, is still answered."""
         self.closing = True
         for conn in list(self.connections):
-            if conn.current is None and conn.exchange is None:
+            if not conn.busy():
                 conn.stream.close()
 
+    def busy(self):
+        """Whether an answer, bytes on their way out, or a request that has begun to come in is still owed something."""
+        return any(conn.busy() for conn in self.connections)
+
     def close(self):
         self.sweep_timer.cancel()
         for conn in list(self.connections):
--- a/lapiswing/loop/net.py
+++ b/lapiswing/loop/net.py
@@ -6,11 +6,12 @@
 
 from lapiswing.loop.stream import Stream
 
+BACKLOG = 1024  # connections that the kernel holds ready
 ACCEPTS = 64  # accepted in one turn
 STUCK = 8  # turns without room until what comes is closed
 
 
-def listen_socket(host, port, backlog=1024):
+def listen_socket(host, port, backlog=BACKLOG):
     """A bound, listening, non-blocking socket; the port can be taken again at once after a kill. Raises OSError."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
@@ -55,7 +56,14 @@
         loop.watch(sock, selectors.EVENT_READ, self.on_ready)
 
     def on_ready(self, _mask):
-        for _ in range(ACCEPTS):
+        self.accept(ACCEPTS)
+
+    def take_rest(self):
+        """Accepts what has connected by now, for an owner that is about to close: a close resets what waits there."""
+        self.accept(BACKLOG)
+
+    def accept(self, most):
+        for _ in range(most):
             if self.closed:
                 return
             if self.open >= self.most and self.make_room is not None:
--- a/lapiswing/loop/secure.py
+++ b/lapiswing/loop/secure.py
@@ -5,6 +5,7 @@
 What is written before the handshake is over waits. `stream.peer_names()` tells afterwards whom the certificate names. Bytes
 of files go through memory here: the kernel can't encrypt them for us without its own TLS, which is not asked for."""
 import os
+import select
 import ssl
 from functools import partial
 
@@ -60,6 +61,11 @@
             return self.shake()
         return super().on_ready(mask)
 
+    def pending(self):
+        waits = select.poll()
+        waits.register(self.sock, select.POLLIN)
+        return bool(self.sock.pending() or waits.poll(0))
+
     def read(self):
         super().read()
         self.look_for_rest()
--- a/lapiswing/loop/stream.py
+++ b/lapiswing/loop/stream.py
@@ -9,6 +9,7 @@
 READ = 65536
 LARGE = 32768
 MORE = getattr(socket, "MSG_MORE", 0)
+LINGER_BYTES = 262144  # read and thrown away by a lingering close
 READ_TURNS = 4  # reads of one stream in a turn, so that one fast sender does not delay the others
 
 
@@ -45,6 +46,8 @@
         self.moved_us = loop.clock.now_us()  # when the peer last took or gave bytes
         self.reading, self.closed, self.closing, self.ended = True, False, False, False
         self.events = 0
+        self.linger_us = self.linger_left = 0
+        self.lingering = None  # the timer that ends a lingering close
         self.update()
 
     def update(self):
@@ -101,14 +104,29 @@
                 continue
             if not data:
                 self.ended = True
+                if self.lingering is not None:
+                    return self.drop(None)
                 self.update()
                 return self.owner.on_eof()
             self.received += len(data)
+            if self.lingering is not None:
+                self.linger_left -= len(data)
+                if self.linger_left < 0:
+                    return self.abort()
+                continue
             asked = self.most
             self.owner.on_data(data)
             if len(data) < asked and self.target is None and not self.records:
                 return
 
+    def catch_up(self):
+        """Reads all that has come in by now, an end behind it too, and not at the loop's next turn."""
+        for _ in range(self.turns):
+            before = self.received
+            self.read()
+            if self.closed or self.ended or not self.reading or self.received == before:
+                return
+
     def pending(self):
         """Whether bytes or an end have come in that were not read yet."""
         try:
@@ -119,14 +137,6 @@
             pass
         return True
 
-    def catch_up(self):
-        """Reads all that has come in by now, an end behind it too, and not at the loop's next turn."""
-        for _ in range(self.turns):
-            before = self.received
-            self.read()
-            if self.closed or self.ended or not self.reading or self.received == before:
-                return
-
     NOT_NOW = (BlockingIOError, InterruptedError)
 
     def write(self, data):
@@ -188,16 +198,30 @@
         if self.full and self.waiting <= self.low:
             self.full = False
             self.owner.on_drained()
-        if not self.out and self.closing:
-            self.drop(None)
-
-    def close(self):
-        """Closes once all that was written is with the kernel."""
+        if not self.out and self.closing and self.lingering is None:
+            self.part()
+
+    def close(self, linger_us=0, linger_bytes=LINGER_BYTES):
+        """Closes once all that was written is with the kernel. A close over bytes that were not read is a reset, which
+        can destroy what was written last: with `linger_us` this side only ends its sending, and what still comes is
+        read and thrown away until the peer's end, for that time and so many bytes at the most. Could harm where peers
+        never close, by a descriptor for that time."""
         if self.closed:
             return
-        self.closing = True
+        if not self.closing:
+            self.closing, self.linger_us, self.linger_left = True, linger_us, linger_bytes
         self.flush()
 
+    def part(self):
+        if not self.linger_us or self.ended:
+            return self.drop(None)
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return self.drop(None)
+        self.lingering = self.loop.call_later(self.linger_us, self.drop, None)
+        self.resume()
+
     def abort(self):
         """Closes at once with a reset, so that the peer does not take it for an end."""
         if self.closed:
@@ -212,6 +236,8 @@
         if self.closed:
             return
         self.closed = True
+        if self.lingering is not None:
+            self.lingering.cancel()
         self.loop.watch(self.sock, 0, None)
         self.loop.dirty.discard(self)
         self.sock.close()
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -118,7 +118,7 @@
         self.server = Server(self.loop, self.front.app, HttpLimits(
             HEAD_BYTES, MOST, FIRST_US, FIRST_US, 120_000 * MS, 10_000 * MS, 4096, self.clients, FIRST_US))
         self.listener = self.discovery = None
-        self.stopping = False
+        self.stopping, self.stopped_us = False, 0
 
     def started_us(self, unix_ms):
         return max(1, round(unix_ms * MS) + self.offset_us) if unix_ms else 0
@@ -181,7 +181,7 @@
         """Sends kept clients away, takes connections while they may come, ends when all that was taken has."""
         if self.stopping:
             return
-        self.stopping = True
+        self.stopping, self.stopped_us = True, self.loop.clock.now_us()
         self.log.info("stopping", open=self.core.open)
         self.core.draining = True
         # Kept connections are told at their next request, with when to come back. Closed at once their clients
@@ -191,11 +191,15 @@
         self.loop.call_later(KEPT_US, self.server.drain)
 
     def close_port(self):
+        self.listener.take_rest()
         self.listener.close()
         self.finish()
 
     def finish(self):
-        if self.core.reqs or self.servers.releasing or any(c.stream.waiting for c in self.server.connections):
+        # Half a request is waited for as long as kept connections are: its client has sent it here and nowhere else.
+        late = self.loop.now >= self.stopped_us + KEPT_US
+        if self.core.reqs or self.servers.releasing or (
+                any(c.stream.waiting for c in self.server.connections) if late else self.server.busy()):
             return self.loop.call_later(20 * MS, self.finish)
         self.server.drain()
         self.log.info("stopped", rounds=self.core.rounds, round_ms=self.core.round_us // MS,
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,170 @@
+"""Closes that cross with what a client sends: the answer written last is not destroyed, nothing taken goes unanswered."""
+import socket
+
+import pytest
+from platform_door import BODY, Door, head
+from whole import Place, Raw, post, chat, status
+
+from lapiswing.loop import Clock, Listener, Loop, Stream, listen_socket
+
+MS = 1000
+
+
+def to_the_end(sock, turn, most=4000):
+    """-> (all that came, whether the end was a clean one)."""
+    got = b""
+    sock.setblocking(False)
+    for _ in range(most):
+        turn()
+        try:
+            data = sock.recv(65536)
+        except BlockingIOError:
+            continue
+        except ConnectionResetError:
+            return got, False
+        if not data:
+            return got, True
+        got += data
+    raise AssertionError("no end came")
+
+
+SENT_ON = {"a body too long": head("a1", Content_Length="400000") + b"x" * 150_000,
+           "a head too long": b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 20_000,
+           "noise": b"\x00 noise\r\n\r\n" * 10_000,
+           "bad requests behind a bad one": (head("a1", Req_Kind="x") + BODY) * 200}
+
+
+@pytest.mark.parametrize("name", SENT_ON)
+def test_an_error_is_not_destroyed_by_what_its_client_still_sends(tmp_path, name):
+    """A close over unread bytes resets the connection; the error that was just written can go with it."""
+    with Door(tmp_path) as door:
+        client = door.client(SENT_ON[name])
+        got, clean = to_the_end(client.sock, lambda: door.loop.turn(1000))
+        assert 400 <= int(got[9:12]) < 500 and clean
+        door.until(lambda: not door.node.server.connections)
+
+
+def test_a_client_that_sends_on_without_end_is_cut_off(tmp_path):
+    with Door(tmp_path) as door:
+        client, sent = door.client(head("a1", Content_Length=str(60 << 20))), 0
+        began = door.loop.clock.now_us()
+        while sent < 60 << 20:
+            try:
+                sent += client.sock.send(b"x" * 65536)
+            except BlockingIOError:
+                door.loop.turn(1000)
+            except OSError:
+                break
+        assert sent < 8 << 20 and door.loop.clock.now_us() - began < 3_000_000
+        door.until(lambda: not door.node.server.connections)
+
+
+def test_a_lingering_close_is_bounded_in_time_and_makes_room(tmp_path):
+    with Door(tmp_path, sockets=128) as door:
+        silent = [door.client(head("a1", Content_Length="400000")) for _ in range(door.node.clients)]
+        for client in silent:
+            door.until(lambda client=client: client.status == 413)
+        assert len(door.node.server.connections) == door.node.clients  # none of them closes its side
+        began = door.loop.clock.now_us()
+        assert door.ask("b1").whole().status == 200  # room is made of those
+        assert door.loop.clock.now_us() - began < 500 * MS
+        door.until(lambda: not door.node.server.connections - {c for c in door.node.server.connections if c.served})
+
+
+def test_a_request_that_came_in_as_idle_connections_are_closed_is_answered(tmp_path):
+    with Door(tmp_path, ("both",)) as door:
+        kept, rests = door.ask("a0").whole(), door.ask("a1").whole()
+        kept.got = b""
+        door.node.stopping = door.core.draining = True
+        kept.send(head("a2") + BODY)  # in the kernel, not read yet
+        door.node.server.drain()
+        got, _ = to_the_end(kept.sock, lambda: door.loop.turn(1000))
+        assert got.startswith(b"HTTP/1.1 503") and b"connection: close" in got.lower()
+        assert to_the_end(rests.sock, lambda: door.loop.turn(1000))[1]
+
+
+def test_requests_in_the_accept_queue_are_answered_as_the_port_closes(tmp_path):
+    with Door(tmp_path, ("both",)) as door:
+        stopped = []
+        door.loop.stop = lambda: stopped.append(1)
+        door.node.stopping = door.core.draining = door.node.server.closing = True
+        queued = [door.ask(f"a{i}") for i in range(100)]  # connected and sent; the gateway has not accepted them
+        assert not door.node.server.connections
+        door.node.close_port()
+        for client in queued:
+            assert client.whole().status == 503
+        door.until(lambda: stopped)
+
+
+def test_half_a_request_is_waited_for_before_the_program_ends(tmp_path):
+    with Door(tmp_path, ("both",)) as door:
+        stopped = []
+        door.loop.stop = lambda: stopped.append(1)
+        data = head("a1") + BODY
+        client, never = door.client(data[:-40]), door.client(data[:40])
+        door.until(lambda: len(door.node.server.connections) == 2)
+        door.node.stop()
+        door.loop.run_until(lambda: False, 700 * MS)
+        assert not stopped
+        client.send(data[-40:])
+        assert client.whole().status == 503
+        began = door.loop.clock.now_us()
+        door.until(lambda: stopped)  # one that never comes does not keep it for good
+        assert door.loop.clock.now_us() - began < 2_500_000
+        never.close()
+
+
+def test_a_request_right_behind_the_last_event_of_a_stream_is_answered_while_stopping(tmp_path):
+    """The stream began before the stop, so its client was not told that the connection would end."""
+    with Door(tmp_path, ("both",)) as door:
+        door.platform.servers["s-1"].pause_us = 50 * MS
+        client = door.ask("a1")
+        door.until(lambda: client.status)
+        door.node.stop()
+        client.send(head("a2") + BODY)
+        got, _ = to_the_end(client.sock, lambda: door.loop.turn(1000))
+        got = client.got + got
+        assert got.count(b"HTTP/1.1 200") == 1 and got.count(b"HTTP/1.1 503") == 1
+        assert got.index(b"[DONE]") < got.index(b"HTTP/1.1 503")
+
+
+def test_the_chat_front_lingers_too():
+    with Place() as place:
+        raw = Raw(place, post(chat()).replace(b"Content-Length: ", b"Content-Length: 99999") + b"y" * 100_000)
+        got, clean = to_the_end(raw.sock, lambda: place.loop.turn(1000))
+        assert status(got) == 413 and clean
+
+
+class Owner:
+    def __init__(self):
+        self.data, self.closed = b"", []
+
+    def on_data(self, data):
+        self.data += data
+
+    def on_eof(self):
+        self.data += b"|"
+
+    def on_closed(self, why):
+        self.closed.append(why)
+
+
+def test_nothing_read_while_lingering_reaches_the_owner():
+    loop = Loop(Clock())
+    streams = []
+    listener = Listener(loop, listen_socket("127.0.0.1", 0), lambda stream, peer: streams.append(stream))
+    near = socket.create_connection(listener.address)
+    loop.run_until(lambda: streams)
+    owner = streams[0].owner = Owner()
+    near.sendall(b"one")
+    loop.run_until(lambda: owner.data)
+    streams[0].write(b"bye")
+    streams[0].close(linger_us=200 * MS)
+    near.sendall(b"two")
+    loop.run_until(lambda: False, 50 * MS)
+    assert owner.data == b"one" and not owner.closed and near.recv(9) == b"bye" and near.recv(9) == b""
+    near.close()
+    loop.run_until(lambda: owner.closed)
+    assert owner.closed == [None] and isinstance(streams[0], Stream) and not loop.timers[0][2].call
+    listener.close()
+    loop.close()
