Descriptors that run short blame no server and lose none of the program's own

Read off the code and confirmed by tests, seen failing: Pool.open asked for room and opened all the same, so that connections to servers could take what clients and discovery need; EMFILE in `connect` came back as a connection that did not come up, which marks a healthy server and its zone; a listener without its spare descriptor was ready without end, and the loop spun. A new connection whose request was on its way was closed before idle ones that had been answered (Server.make_room): found by the test that fills the table while discovery is down, 'asked once', which lost a request that way.

Changed: the pool's bound holds, and an attempt beyond it, or without a descriptor, ends at once as `moot`: pushed back with when to come back, no word on any server. A listener that can't even turn away rests 100 ms. Who has only just connected goes last when room is made. Where the process may open less than the configuration says, that counts.

Ruled out: discovery itself.

--- a/lapiswing/engine/outcomes.py
+++ b/lapiswing/engine/outcomes.py
@@ -14,6 +14,7 @@
 def of_failure(stage):
     """A transport's stage (see http1.ClientExchange) -> code."""
     return {
+        "local": "moot",  # nothing was sent, for a reason of our own
         "connect": "unreachable",  # no connection, so no request
         "unsent": "unreachable",  # a box must not begin before it has the whole body (docs/boxes.md)
         "sent": "reset",  # the request is there, the answer is not
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -372,8 +372,8 @@
             self.thin()
 
     def make_room(self):
-        """Connections run short: closes one that only lingers, else one that has said nothing yet, else the longest
-        idle one, else one whose request has been half here for long. Guards usual clients against hundreds that connect and say nothing; could
+        """Connections run short: closes one that only lingers, else one that has said nothing for a while, else the
+        longest idle one, else one that has just connected, else one whose request has been half here for long. Guards usual clients against hundreds that connect and say nothing; could
         harm a client that is slow to say its first word, so the oldest goes first, and what came in is looked for."""
         now, spare_us = self.loop.now, self.limits.spare_us
         found = []
@@ -385,9 +385,11 @@
             if c.stream.closing or c.phase == "answer":
                 continue
             if c.phase == "idle":
-                found.append(((0 if not c.served else 1 if age > spare_us else 2), -age, c))
+                # Who has only just connected has its first request on the way, and would be answered nothing at all.
+                rank = (0 if age > spare_us // 8 else 3) if not c.served else 1 if age > spare_us else 2
+                found.append((rank, -age, c))
             elif age > spare_us // 4:
-                found.append((3, -age, c))  # half a request, for long
+                found.append((4, -age, c))  # half a request, for long
         found.sort(key=lambda one: one[:2])
         # Some at once where they have had their time: looking for them costs more than closing them.
         closed = 0
--- a/lapiswing/loop/net.py
+++ b/lapiswing/loop/net.py
@@ -7,6 +7,9 @@
 from lapiswing.loop.stream import Stream
 
 BACKLOG = 1024  # connections that the kernel holds ready
+NO_DESCRIPTOR = "connect: no descriptor left here"  # says nothing of whom it was for
+NONE_LEFT = (errno.EMFILE, errno.ENFILE)
+REST_US = 100_000  # a listener's, while not even the spare descriptor is there
 ACCEPTS = 64  # accepted in one turn
 STUCK = 8  # turns without room until what comes is closed
 
@@ -80,10 +83,10 @@
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError as problem:
-                if problem.errno not in (errno.EMFILE, errno.ENFILE):
+                if problem.errno not in NONE_LEFT:
                     return
                 if not self.accept_and_close():
-                    return
+                    return self.rest()
                 continue
             if self.open >= self.most:
                 self.refused += 1
@@ -109,10 +112,24 @@
         except OSError:
             return False
         finally:
-            try:
-                self.spare = os.open(os.devnull, os.O_RDONLY)
-            except OSError:
-                pass  # tried again at the next refusal
+            self.open_spare()
+
+    def rest(self):
+        """Guards the loop against a readiness that nothing can be done about; clients wait in the kernel meanwhile."""
+        self.loop.watch(self.sock, 0, None)
+        self.loop.call_later(REST_US, self.wake)
+
+    def wake(self):
+        if not self.closed:
+            if self.spare is None:
+                self.open_spare()
+            self.loop.watch(self.sock, selectors.EVENT_READ, self.on_ready)
+
+    def open_spare(self):
+        try:
+            self.spare = os.open(os.devnull, os.O_RDONLY)
+        except OSError:
+            pass  # tried again at the next refusal
 
     roomed_us, stuck = None, 0  # the turn of the last call of `make_room`; calls since there was some
     make_room = None  # called when `most` are open; may close some
@@ -147,7 +164,8 @@
             self.sock.setblocking(False)
             code = self.sock.connect_ex(address)
         except OSError as problem:
-            loop.soon(self.finish, f"connect: {problem.strerror or problem}")
+            loop.soon(self.finish, NO_DESCRIPTOR if problem.errno in NONE_LEFT
+                      else f"connect: {problem.strerror or problem}")
             return
         if code not in (0, errno.EINPROGRESS):
             loop.soon(self.finish, f"connect: {os.strerror(code)}")
--- a/lapiswing/node/outcomes.py
+++ b/lapiswing/node/outcomes.py
@@ -25,6 +25,8 @@
 
 def of_failure(stage):
     """A transport's stage (see http1.ClientExchange) -> code."""
+    if stage == "local":
+        return "moot"  # nothing was sent, for a reason of our own
     return "unreachable" if stage in ("connect", "unsent") else "reset"
 
 
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -1,5 +1,6 @@
 """Puts one gateway of the platform together: configuration, loop, discovery, core, front, signals."""
 import gc
+import resource
 import signal
 import time
 from typing import NamedTuple
@@ -91,14 +92,15 @@
         self.log = Lines(log, clock)
         self.loop = loop or Loop(clock, on_error=lambda problem: self.log.error(
             "fault", why=f"{type(problem).__name__}: {problem}", exc_info=problem))
-        limits, sockets = settings["limits"], self.config.limits.sockets
+        # What the process may really open counts where that is less than the configuration says.
+        limits, sockets = settings["limits"], min(self.config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         # As many to servers as usual clients may have reqs open, and some for releases and what waits idle.
         to_servers = sockets * 3 // 8
         self.clients = sockets - to_servers - OWN
         idle_us = limits.get("conn_idle_us") or 10_000 * MS
         self.pool = Pool(self.loop, to_servers, max(4, to_servers // 16), idle_us * 6 // 10,
                          limits.get("connect_timeout_us") or 250 * MS, settle_us=20 * MS, most_all=to_servers)
-        self.asking = Pool(self.loop, 2, 1, 60_000 * MS, 1000 * MS)
+        self.asking = Pool(self.loop, 4, 1, 60_000 * MS, 1000 * MS)
         self.offset_us = self.loop.clock.now_us() - time.time_ns() // 1000
         report = settings.get("report") or {}
         self.servers = Servers(
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -243,7 +243,7 @@
             return
         if code == "done" and status < 500:
             return self.end()
-        if code != "timed_out":  # refused or broken: another one at once, within this part's number
+        if code not in ("timed_out", "moot"):  # refused or broken: another one at once, within this part's number
             self.servers.loop.soon(self.again)
 
     def again(self):
@@ -303,7 +303,7 @@
             return self.loop.soon(done, False)
 
         def told(code, status, _report, _body):
-            refused = code == "unreachable" or code == "done" and status in (404, 409)
+            refused = code in ("unreachable", "moot") or code == "done" and status in (404, 409)
             done(True if code == "done" and status == 200 else False if refused else None)
         Small(self, server, b"POST", ROOMS + name, 1000 * MS, told)
 
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,162 @@
+"""Descriptors run short: nothing of the program's own is lost, and no server is blamed for it."""
+import errno
+import json
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from platform_door import BODY, Door, Quiet, head
+
+from lapiswing.http1 import Pool
+from lapiswing.loop import Clock, Listener, Loop, free_ports, listen_socket
+from lapiswing.loop import net
+
+MS, S = 1000, 1_000_000
+
+
+class Handler:
+    def __init__(self):
+        self.ends = []
+
+    def on_head(self, status, fields):
+        pass
+
+    def on_body(self, data):
+        pass
+
+    def on_end(self):
+        self.ends.append("end")
+
+    def on_fail(self, stage, why):
+        self.ends.append(stage)
+
+
+def test_the_pool_never_opens_more_than_it_may():
+    loop = Loop(Clock())
+    listeners = [Listener(loop, listen_socket("127.0.0.1", 0), lambda stream, peer: setattr(stream, "owner", Quiet()))
+                 for _ in range(3)]
+    pool = Pool(loop, 10, 4, most_all=5)
+    handlers = [Handler() for _ in range(9)]
+    for i, handler in enumerate(handlers):
+        pool.request(listeners[i % 3].address, b"GET", b"/", [], b"", handler)
+    assert sum(pool.count.values()) == 5
+    loop.run_until(lambda: sum(map(len, (h.ends for h in handlers))) == 4, S)
+    assert [h.ends for h in handlers] == [[]] * 5 + [["local"]] * 4
+    pool.close()
+    for listener in listeners:
+        listener.close()
+    loop.close()
+
+
+def test_no_descriptor_for_an_attempt_is_pushed_back_and_blames_no_server(tmp_path, monkeypatch):
+    with Door(tmp_path, ("both", "both")) as door:
+        def none(*args):
+            raise OSError(errno.EMFILE, "Too many open files")
+        real = socket.socket
+        client, kept = door.client(), door.ask("a0").whole()
+        for conn in list(door.node.pool.all):
+            conn.stream.abort()
+        monkeypatch.setattr(net.socket, "socket", none)
+        kept.got = b""
+        kept.send(head("a1") + BODY)
+        door.until(kept.ended)
+        monkeypatch.setattr(net.socket, "socket", real)
+        assert kept.status == 503 and b"retry-after" in kept.got.lower()
+        router = door.core.router
+        assert not router.lost and all(m.bad < 0.01 and not m.suspect for m in router.machines.values())
+        client.send(head("a2") + BODY)
+        assert client.whole().status == 200
+        door.settled()
+
+
+def test_a_listener_without_any_descriptor_rests_and_comes_back(monkeypatch):
+    loop, seen = Loop(Clock()), []
+    listener = Listener(loop, listen_socket("127.0.0.1", 0), lambda stream, peer: (
+        seen.append(stream), setattr(stream, "owner", Quiet())))
+    os.close(listener.spare)
+    listener.spare = None
+
+    class Full:
+        def __init__(self, sock):
+            self.sock = sock
+
+        def accept(self):
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        def __getattr__(self, name):
+            return getattr(self.sock, name)
+    near, listener.sock = socket.create_connection(listener.address), Full(listener.sock)
+    loop.run_until(lambda: False, 350 * MS)
+    assert loop.turns < 40  # it does not spin
+    listener.sock = listener.sock.sock
+    assert loop.run_until(lambda: seen, S) and listener.spare is not None
+    near.close()
+    listener.close()
+    loop.close()
+
+
+def test_what_the_process_may_open_counts_where_it_is_less_than_configured(tmp_path, monkeypatch):
+    monkeypatch.setattr(resource, "getrlimit", lambda which: (128, 128))
+    with Door(tmp_path, sockets=4096) as door:
+        assert door.node.clients + door.node.pool.most_all < 128
+
+
+@pytest.mark.parametrize("kind", ["say nothing", "asked once"])
+def test_idle_clients_fill_the_table_while_discovery_is_down(tmp_path, kind):
+    """A process of its own with the very limit that it is configured for."""
+    sockets = 160
+    with Door(tmp_path, ("both", "both")) as door:
+        port, = free_ports(1)
+        path = tmp_path / "own.json"
+        path.write_text(json.dumps({**door.config, "listen": f"127.0.0.1:{port}",
+                                    "limits": {"cores": 0.5, "memory_mb": 64, "sockets": sockets}}))
+        log = open(tmp_path / "log", "w")
+        program = subprocess.Popen(
+            [sys.executable, "-m", "lapiswing.node"], env={**os.environ, "RELAY_CONFIG": str(path)}, stderr=log,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets)))
+        try:
+            door.port = port
+            door.until(lambda: "listening" in (tmp_path / "log").read_text(), 20 * S)
+            assert door.ask("a0").whole().status == 200
+            door.loop.run_until(lambda: False, 200 * MS)
+            own = len(os.listdir(f"/proc/{program.pid}/fd"))
+            discovery, old = door.platform.discovery, door.platform.servers["s-1"]
+            discovery.silent = True
+            discovery.waiting.clear()
+            ask = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n" if kind == "asked once" else b""
+            idle = [door.client(ask) for _ in range(2 * sockets)]
+            door.loop.run_until(lambda: False, S)
+            assert len(os.listdir(f"/proc/{program.pid}/fd")) <= sockets
+            more = [door.client(ask) for _ in range(sockets)]
+            discovery.silent = False
+            new = door.platform.add("both")
+            old.status = "DRAINING"
+            discovery.tell(old.row(), new.row())
+            began = door.loop.clock.now_us()
+            asked = [0]
+
+            def served():
+                asked[0] += 1
+                client = door.ask(f"b{asked[0]}")
+                status = client.whole().status
+                client.close()
+                return status == 200 and any(row[0] == new.name for row in door.platform.seen(b"POST"))
+            door.until(served, 6 * S)
+            assert door.loop.clock.now_us() - began < 6 * S
+            before = len([row for row in door.platform.seen(b"POST") if row[0] == old.name])
+            for i in range(5):
+                assert door.ask(f"c{i}").whole().status == 200
+            assert len([row for row in door.platform.seen(b"POST") if row[0] == old.name]) == before
+            for client in idle + more:
+                client.close()
+            door.until(lambda: len(os.listdir(f"/proc/{program.pid}/fd")) <= own + 6, 8 * S)
+            program.send_signal(signal.SIGTERM)
+            assert program.wait(10) == 0
+        finally:
+            program.kill()
+            log.close()
+    assert "fault" not in (tmp_path / "log").read_text()
