A change of the list is acted on within 5 s over any row of failed calls

Worked out from the constants and confirmed by Hypothesis on the manual clock: a silent watch was found out after 3.5 s and each further silent or dripping call took 1.6 s more, so that one of them behind a silent watch was too late (6 s). A watch after a failure went on from the last index, and would have waited for good where discovery counts anew.

Changed (node/discovery.py): a watch waits 1 s, an answer gets 0.7 s in all, a drip counts as silence; an answer that was truly coming in gets twice the time at the next call. After any failed call the whole list is asked for, which waits for nothing.

--- a/lapiswing/node/discovery.py
+++ b/lapiswing/node/discovery.py
@@ -6,9 +6,15 @@
 from lapiswing.node.names import MODES, TARGETS
 
 MS = 1000
-WAIT_MS = 2000  # of one watch; short, so that a connection that went silent is found out
-LATE_US = 1500 * MS  # past that wait
+# A change counts as told 6 s after discovery had it and could be reached. A silent watch is found out after WAIT + LATE;
+# a row of failed calls costs LATE + AGAIN each at the most, of whatever kind they are, so that four of them after a
+# silent watch still end within 5 s. Could harm where a list takes longer than LATE to arrive: then the next call asks
+# for it with twice the time, up to MOST_LATE.
+WAIT_MS = 1000  # of one watch
+LATE_US = 700 * MS  # past that wait, for the whole of the answer
+MOST_LATE_US = 2800 * MS  # for an answer that was still coming in when its time was over
 AGAIN_US = 100 * MS  # after a call that failed
+SLOW_BYTES = 65536  # of an answer that came in within its time, less is a drip
 LIST_BYTES = 8 << 20
 
 
@@ -97,7 +103,7 @@
     def __init__(self, loop, pool, address, rows, on_rows, log):
         self.loop, self.pool, self.address = loop, pool, address
         self.rows, self.on_rows, self.log = rows, on_rows, log
-        self.call, self.whole, self.silent = None, True, False
+        self.call, self.whole, self.silent, self.late_us = None, True, False, LATE_US
         self.timer = loop.call_later(0, self.ask)
 
     def move(self, address):
@@ -121,13 +127,21 @@
         else:
             target, wait_us = b"%b?after=%d&wait_ms=%d" % (TARGETS, self.rows.index, WAIT_MS), WAIT_MS * MS
         self.call = call = Call(self)
-        self.timer = self.loop.call_later(wait_us + LATE_US, self.failed, call, "no answer in time")
+        self.timer = self.loop.call_later(wait_us + self.late_us, self.too_late, call)
         call.exchange = self.pool.request(self.address, b"GET", target, [], b"", call)
 
+    def too_late(self, call):
+        if call is self.call:
+            # Still coming in, and not in drips: a list that is long for this machine.
+            coming = call.size >= SLOW_BYTES and self.late_us < MOST_LATE_US
+            self.failed(call, "no answer in time")
+            self.late_us = 2 * self.late_us if coming else LATE_US
+
     def failed(self, call, why):
         if call is not self.call:
             return
         self.stop()
+        self.whole = True  # the next one waits for nothing, and what this one has missed is in it
         if not self.silent:
             self.silent = True
             self.log.warning("discovery silent", why=why, boxes=len(self.rows.rows))
@@ -142,8 +156,8 @@
             targets = DECODER.decode(body)
             self.rows.take(targets)
         except (ValueError, msgspec.MsgspecError) as problem:
-            self.whole = True  # what is held can't be added to
             return self.failed(call, f"can't be read: {problem}")
+        self.late_us = LATE_US
         if self.silent:
             self.silent = False
             self.log.info("discovery heard", boxes=len(self.rows.rows))
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,208 @@
+"""A change is acted on within 5 s of when discovery had it and could be reached, whatever happened to the calls before."""
+import json
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from platform_door import Door
+
+from lapiswing.loop import Loop, ManualClock
+from lapiswing.node.discovery import AGAIN_US, LATE_US, MOST_LATE_US, WAIT_MS, Discovery, Rows
+
+MS, S = 1000, 1_000_000
+LIMIT_US = 5 * S
+BAD = ("refused", "does not come up", "reset", "silent", "drips", "half an answer", "no JSON", "503", "an older list's change")
+
+
+class Scripted:
+    """In place of a pool: what becomes of each call. After the script all calls are answered as they should be."""
+
+    def __init__(self, loop, script):
+        self.loop, self.script, self.asked = loop, list(script), []
+        self.index, self.mode, self.whole = 1, "SERVING", None
+
+    def close_idle(self, address):
+        pass
+
+    def request(self, address, method, target, fields, body, handler):
+        exchange = Call(self, target, handler)
+        self.asked.append((self.loop.clock.now_us(), target))
+        exchange.play(self.script.pop(0) if self.script else "good")
+        return exchange
+
+
+class Call:
+    def __init__(self, pool, target, handler):
+        self.pool, self.target, self.handler, self.over = pool, target, handler, False
+
+    def later(self, after_us, call, *args):
+        self.pool.loop.call_later(after_us, lambda: self.over or call(*args))
+
+    def cancel(self):
+        self.over = True
+
+    def answer(self, index=None):
+        pool = self.pool
+        row = {"name": "s-1", "address": "127.0.0.1:9", "zone": "a", "type": "both", "group": 0, "status": pool.mode,
+               "weight": 1.0, "since_ms": 0}
+        return json.dumps({"index": index or pool.index, "snapshot": b"after" not in self.target, "endpoints": [row]}).encode()
+
+    def good(self):
+        after = self.target.partition(b"after=")[2].partition(b"&")[0]
+        if after and int(after) >= self.pool.index:  # a watch waits for something newer
+            return self.later(20 * MS, self.good)
+        self.whole(self.answer())
+
+    def whole(self, body, status=200):
+        self.over = True
+        self.handler.on_head(status, [])
+        self.handler.on_body(body)
+        self.handler.on_end()
+
+    def fail(self, stage):
+        self.over = True
+        self.handler.on_fail(stage, "scripted")
+
+    def drip(self):
+        self.handler.on_body(b" ")
+        self.later(50 * MS, self.drip)
+
+    def play(self, what):
+        if what == "good":
+            self.later(1 * MS, self.good)
+        elif what == "refused":
+            self.later(0, self.fail, "connect")
+        elif what == "does not come up":
+            self.later(1000 * MS, self.fail, "connect")
+        elif what == "reset":
+            self.later(30 * MS, self.fail, "sent")
+        elif what == "drips":
+            self.handler.on_head(200, [])
+            self.drip()
+        elif what == "half an answer":
+            self.handler.on_head(200, [])
+            self.handler.on_body(self.answer()[:40])
+            self.later(400 * MS, self.fail, "body")
+        elif what == "no JSON":
+            self.later(5 * MS, self.whole, b"{")
+        elif what == "503":
+            self.later(5 * MS, self.whole, b"", 503)
+        elif what == "an older list's change":
+            self.later(5 * MS, self.whole, b'{"index":0,"snapshot":false,"endpoints":[]}')
+
+
+class Played:
+    def __init__(self):
+        self.loop = Loop(ManualClock())
+        self.heard, self.rows = [], Rows(["read", "write", "both"], ["a"], lambda ms: 0)
+        self.pool = Scripted(self.loop, [])
+        self.discovery = Discovery(self.loop, self.pool, ("127.0.0.1", 1), self.rows, self.on_rows, self)
+        self.until(lambda: self.rows.rows, S)
+
+    def on_rows(self):
+        self.heard.append((self.loop.clock.now_us(), {r.id: r.mode for r in self.rows.rows.values()}))
+
+    def info(self, *_, **__):
+        pass
+
+    warning = info
+
+    def until(self, done, most_us):
+        return self.loop.run_until(done, most_us)
+
+    def change(self):
+        """The server begins to drain, and discovery can be reached from now on. -> after what time it was acted on."""
+        self.pool.index, self.pool.mode = self.pool.index + 1, "DRAINING"
+        began = self.loop.clock.now_us()
+        assert self.until(lambda: self.heard and self.heard[-1][1] == {"s-1": "draining"}, 10 * S)
+        return self.loop.clock.now_us() - began
+
+
+@settings(max_examples=100, deadline=None)
+@given(before=st.lists(st.sampled_from(BAD), max_size=6), at_ms=st.integers(0, 4000), hups=st.lists(st.integers(0, 4000), max_size=3),
+       after=st.lists(st.sampled_from(BAD), max_size=3))
+@example(before=["silent"], at_ms=0, hups=[], after=["silent", "drips", "does not come up"])
+@example(before=["drips", "silent"], at_ms=100, hups=[50], after=["half an answer", "silent", "silent"])
+def test_over_all_orders_of_faults(before, at_ms, hups, after):
+    """`before`: what becomes of the calls until the change; `after`: of three more at the most, though discovery could be
+    reached. SIGHUP moves to another address in between."""
+    play = Played()
+    try:
+        play.pool.script = list(before)
+        for number, ms in enumerate(hups):
+            play.loop.call_later(ms * MS, play.discovery.move, ("127.0.0.1", 2 + number))
+        play.until(lambda: False, at_ms * MS)
+        play.pool.script = list(after)
+        took = play.change()
+        assert took <= LIMIT_US, took
+    finally:
+        play.discovery.stop()
+        play.loop.close()
+
+
+def test_a_list_that_takes_long_and_is_no_drip_gets_more_time():
+    play = Played()
+
+    def slow(exchange):  # 300 KB in 2 s, each time it is asked for
+        exchange.handler.on_head(200, [])
+        body = exchange.answer()
+        body = body[:1] + b" " * 300_000 + body[1:]
+        for part in range(20):
+            exchange.later(part * 100 * MS, exchange.handler.on_body, body[part * len(body) // 20:(part + 1) * len(body) // 20])
+        exchange.later(2000 * MS, exchange.handler.on_end)
+    play.pool.index, play.pool.mode = 2, "DRAINING"
+    real = Call.play
+    try:
+        Call.play = lambda exchange, what: slow(exchange)
+        play.discovery.move(("127.0.0.1", 2))
+        assert play.until(lambda: play.rows.rows["s-1"].mode == "draining", 9 * S)
+    finally:
+        Call.play = real
+        play.discovery.stop()
+        play.loop.close()
+    assert LATE_US * 4 == MOST_LATE_US > 2 * S
+
+
+def test_after_a_failed_call_the_whole_list_is_asked_for():
+    """A discovery that has started anew may count from the beginning: a watch after a later index would wait for good."""
+    play = Played()
+    play.pool.index = 40
+    assert play.until(lambda: play.rows.index == 40, S)
+    play.pool.script, play.pool.index = ["reset"], 3
+    play.discovery.move(("127.0.0.1", 1))
+    play.pool.mode = "DRAINING"
+    assert play.until(lambda: play.rows.rows["s-1"].mode == "draining", S) and play.rows.index == 3
+    play.pool.script, play.pool.index = [], 2
+    play.discovery.failed(play.discovery.call, "scripted")
+    assert play.until(lambda: play.rows.index == 2, S)
+    play.discovery.stop()
+    play.loop.close()
+
+
+def test_the_row_of_failures_that_is_allowed_ends_in_time():
+    assert WAIT_MS * MS + LATE_US + AGAIN_US + 3 * (LATE_US + AGAIN_US) < LIMIT_US
+
+
+@pytest.mark.parametrize("how", ["silent watch", "outage", "reset"])
+def test_on_sockets_a_change_is_acted_on_within_5_s(tmp_path, how):
+    with Door(tmp_path, ("both", "both")) as door:
+        discovery, server = door.platform.discovery, door.platform.servers["s-1"]
+        door.until(lambda: discovery.waiting)
+        if how == "silent watch":  # what is open stays open and says nothing; new calls are answered
+            discovery.waiting.clear()
+        elif how == "outage":
+            discovery.silent = True
+            discovery.waiting.clear()
+            door.loop.run_until(lambda: False, 2 * S)
+            discovery.silent = False
+        else:
+            for exchange, _ in discovery.waiting:
+                exchange.conn.stream.abort()
+            discovery.waiting.clear()
+        began = door.loop.clock.now_us()
+        server.status = "DRAINING"
+        discovery.tell(server.row())
+        door.until(lambda: door.core.router.machines["s-1"].mode == "draining", 6 * S)
+        assert door.loop.clock.now_us() - began < LIMIT_US
+        assert all(door.ask(f"a{i}").whole().status == 200 for i in range(3))
+        assert {row[0] for row in door.platform.seen(b"POST")} == {"s-2"}
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,7 +20,7 @@
 from lapiswing.node import servers as node_servers
 from lapiswing.node import view
 from lapiswing.node.config import checked, load
-from lapiswing.node.discovery import DECODER, Rows
+from lapiswing.node.discovery import DECODER, WAIT_MS, Rows
 from lapiswing.node.outcomes import load_of, of_failure, of_status
 from lapiswing.policy import Router
 from lapiswing.standin.platform import Discovery
@@ -587,7 +587,7 @@
         for body in (b'{"index":90,"snapshot":false,"endpoints":[7]}', b'{"index":91,"snapshot":true,"endpoints":[7,'
                      + json.dumps(endpoint("s-9")).encode() + b"]}"):
             discovery.answered(discovery.call, 200, body)
-        assert asked == [b"/api/targets", b"/api/targets?after=91&wait_ms=2000"]
+        assert asked == [b"/api/targets", b"/api/targets?after=91&wait_ms=%d" % WAIT_MS]
 
 
 class Still:
