--- /dev/null
+++ b/benchmarks/ready.py
@@ -0,0 +1,125 @@
+"""How long gateways take to be ready that start all at once and share a core, by phase. Real processes on loopback.
+
+    .venv/bin/python benchmarks/ready.py [gateways on one core]
+"""
+import compileall
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+from platform_door import SETTINGS  # noqa: E402
+
+from lapiswing.http1 import Pool  # noqa: E402
+from lapiswing.loop import Clock, Loop, free_ports  # noqa: E402
+from lapiswing.standin.platform import Platform  # noqa: E402
+
+MS, S = 1000, 1_000_000
+
+
+def endpoints(count):
+    return [{"name": f"s-{i}", "address": f"127.0.0.1:{2000 + i}", "zone": "ab"[i % 2], "type": ("read", "write")[i % 2],
+             "group": i % 8, "status": "SERVING", "weight": 1.0, "since_ms": 0} for i in range(count)]
+
+
+class Asked:
+    def __init__(self):
+        self.status = self.over = None
+
+    def on_head(self, status, fields):
+        self.status = status
+
+    def on_body(self, data):
+        pass
+
+    def on_end(self):
+        self.over = True
+
+    def on_fail(self, stage, why):
+        self.over = True
+
+
+def measure(gateways, servers, known, down_s, limit_s=30):
+    """`gateways` start at once on one core; discovery says nothing for `down_s`. -> seconds until each is ready."""
+    loop = Loop(Clock())
+    platform, pool = Platform(loop, ()), Pool(loop)
+    rows = endpoints(servers)
+    platform.discovery.whole = lambda: {"index": platform.discovery.index, "snapshot": True, "endpoints": rows}
+    platform.discovery.silent = down_s > 0
+    ports, programs, ready = free_ports(gateways), [], {}
+    with tempfile.TemporaryDirectory() as folder:
+        began = loop.clock.now_us()
+        for i, port in enumerate(ports):
+            path = Path(folder) / f"{i}.json"
+            path.write_text(json.dumps({
+                "name": f"n{i}", "listen": f"127.0.0.1:{port}", "discovery": platform.discovery.address, "seed": f"{i + 1:x}",
+                "limits": {"cores": 1 / gateways, "memory_mb": 128, "sockets": 512}, "settings": SETTINGS,
+                "known": {"index": 1, "snapshot": True, "endpoints": rows} if known else None}))
+            programs.append(subprocess.Popen(
+                [sys.executable, "-m", "lapiswing.node"], stderr=subprocess.DEVNULL,
+                env={**os.environ, "RELAY_CONFIG": str(path), "OPENBLAS_NUM_THREADS": "1"},
+                preexec_fn=lambda: os.sched_setaffinity(0, {min(os.sched_getaffinity(0))})))
+        loop.call_later(int(down_s * S), setattr, platform.discovery, "silent", False)
+        try:
+            while len(ready) < gateways and loop.clock.now_us() - began < limit_s * S:
+                asked = {i: Asked() for i in range(gateways) if i not in ready}
+                for i, one in asked.items():
+                    pool.request(("127.0.0.1", ports[i]), b"GET", b"/-/ready", [], b"", one)
+                loop.run_until(lambda asked=asked: all(a.over for a in asked.values()), S // 2)
+                ready.update({i: (loop.clock.now_us() - began) / S for i, a in asked.items() if a.status == 200})
+                loop.run_until(lambda: False, 50 * MS)
+        finally:
+            for program in programs:
+                program.kill()
+                program.wait()
+            pool.close()
+            platform.close()
+            loop.close()
+    return sorted(ready.values())
+
+
+def phases():
+    """Seconds of processor time: imports; configuration and first list at 100 and 1,024 servers."""
+    code = ("import time; a = time.process_time(); import lapiswing.node.serve; print(time.process_time() - a)")
+    imports = float(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
+                                   env={**os.environ, "OPENBLAS_NUM_THREADS": "1"}).stdout)
+    from lapiswing.node.serve import Node
+    rows = []
+    for servers in (100, 1024):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "c.json"
+            path.write_text(json.dumps({
+                "name": "n", "listen": "127.0.0.1:9", "discovery": "127.0.0.1:8", "seed": "1",
+                "limits": {"cores": 1, "memory_mb": 128, "sockets": 512}, "settings": SETTINGS,
+                "known": {"index": 1, "snapshot": True, "endpoints": endpoints(servers)}}))
+            at = [time.process_time()]
+            node = Node(str(path), type("Log", (), {"__getattr__": lambda self, name: lambda *a, **k: None})())
+            at.append(time.process_time())
+            node.take_known()
+            node.core.turn()
+            at.append(time.process_time())
+        rows.append((servers, at[1] - at[0], at[2] - at[1]))
+    return imports, rows
+
+
+def main(gateways):
+    compileall.compile_dir(str(Path(__file__).parent.parent / "lapiswing"), quiet=1)  # as `build` does
+    imports, rows = phases()
+    print(f"imports {imports:.2f} s of a core")
+    for servers, config, first in rows:
+        print(f"{servers} servers: configuration {config:.3f} s, first list {first:.3f} s of a core")
+    for servers in (100, 1024):
+        for known in (False, True):
+            for down_s in (0, 3):
+                times = measure(gateways, servers, known, down_s)
+                nine = times[gateways * 9 // 10 - 1] if len(times) >= gateways * 9 // 10 else None
+                print(f"{gateways} on one core, {servers} servers, known {'full' if known else 'empty'}, discovery down "
+                      f"{down_s} s: nine in ten ready after {nine and round(nine, 1)} s, last {times[-1]:.1f} s")
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 10)
--- a/lapiswing/admin/serve.py
+++ b/lapiswing/admin/serve.py
@@ -21,7 +21,7 @@
 from lapiswing.admin.feed import Feed
 from lapiswing.http1 import Limits, Server
 from lapiswing.loop import Listener, listen_socket
-from lapiswing.observe import CONTENT_TYPE, Metrics, counts_of
+from lapiswing.observe.metrics import CONTENT_TYPE, Metrics, counts_of
 
 MS = 1000
 VERSION = 1
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -14,6 +14,7 @@
 MOVES = 4  # moves of share from worst to best pairs at each refresh
 STEP = 0.7  # share that a pair gives up in one move at the most, against an equal share
 FLOOR = 0.14  # least share of a pair, so that it is met again, against an equal share
+FIRST_PAIRS = 200_000  # looked at before the first req
 ROUND = 32  # pairs for each one that takes part in a move
 NEAR = 0.3  # shares above this part of the best are near it
 MEMORY_US = (2000 * MS, 10000 * MS)  # measurements are halved no sooner and no later than this
@@ -202,7 +203,8 @@
         pairs[pairs == 0] = pairs[pairs > 0].mean() if pairs.any() else 1.0
         self.pairs = pairs * self.open / ((pairs * self.open).sum() or 1.0)
         self.share = dict(zip(self.row, np.maximum(self.pairs.sum(axis=1), 1e-9).tolist()))
-        for _ in range(0 if self.moved_us else 12):  # by what is known without outcomes
+        # By what is known without outcomes; less often for many pairs, as nobody is served meanwhile.
+        for _ in range(0 if self.moved_us else min(12, max(2, FIRST_PAIRS // max(1, self.pairs.size)))):
             self.refresh()
         self.moved_us = self.moved_us or self.now
 
--- a/lapiswing/transfer/serve.py
+++ b/lapiswing/transfer/serve.py
@@ -10,7 +10,7 @@
 
 from lapiswing.http1 import Limits, Server
 from lapiswing.loop import Clock, Listener, Loop, address_of, listen_socket
-from lapiswing.observe import CONTENT_TYPE, Metrics, counts_of
+from lapiswing.observe.metrics import CONTENT_TYPE, Metrics, counts_of
 from lapiswing.transfer.agent import Agent
 from lapiswing.transfer.certificates import CertificateError, Tls
 from lapiswing.transfer.states import NOTE, PART, file_name, read_note, remove, scan, write_note
