All gateways together send a cold server what it bears, over mixtures of trouble

Measured with a simulated fleet of 3 to 200 Routers (lab/coldfleet.py): a server's sum against N + 2 x root of N + 2 of mean work in each window, over skew, bursts, failures, repeats, late news, fresh gateways, mixed kinds, all of a role cold.

Found beside: the count of reqs with a turn could fall to -1 between a halving and a retry, and the next turn divided by zero.

--- a/tests/cold_fleet.py
+++ b/lapiswing/lab/coldfleet.py
@@ -1,6 +1,6 @@
 """A simulated fleet: many Routers before servers of which some start cold. Everything follows from the seed.
 
-A server does `RATE` reqs of mean work a second when warm; a start makes it `cold_from` of that, growing evenly over the
+A prefill server does `rate` reqs of mean work a second when warm; a start makes it `cold_from` of that, growing evenly over the
 ramp. What all Routers together send a cold one is held against what the settings allow it then, N reqs of mean work in
 the window, and 2 x root of N + 2 for chance."""
 import heapq
@@ -51,7 +51,8 @@
     """`case` names what differs: gateways, rate (reqs a second a server can do), load (part of all servers' rate),
     skew (how many times the mean a tenth of the gateways gets), burst (times the load from the start on), fresh and
     late (parts of the gateways that start at that moment, that are told 1.5 s late), cold (role -> part), hot (part of
-    the reqs with one prefix), failing (part of the attempts that fail), retries (whether clients come again), kinds."""
+    the reqs with one prefix), failing (part of the attempts that fail), retries (whether clients come again), marks (whether
+    they say so), kinds (servers by role)."""
 
     def __init__(self, seed, case):
         self.chance, self.case = np.random.default_rng(seed), case
@@ -62,7 +63,7 @@
             [s for s in self.servers if s[0] == role]) if i < round(part * case["kinds"][role])}
         self.busy = dict.fromkeys(self.servers, 0.0)
         self.out, self.where, self.works, self.reqs = {}, {}, {}, {}
-        self.arrivals, self.taken, self.done, self.tried_again = [], 0, 0, 0  # arrivals: (us, server, work, told)
+        self.arrivals, self.taken, self.done = [], 0, 0  # arrivals: (us, server, work, told)
         g = case["gateways"]
         self.late = set(range(g - round(case["late"] * g), g))
         self.fresh = set(range(round(case["fresh"] * g)))
@@ -119,7 +120,8 @@
         key = "hot" if self.chance.random() < self.case["hot"] else f"p{self.chance.integers(40)}"
         self.reqs[gateway, rid] = (work, again is not None)
         self.taken += again is None
-        self.tell(0, gateway, ("req", rid, tokens, self.now + 4 * S, f"s{rid}", key, tokens // 4, 200, None, 0, 0, 0))
+        self.tell(0, gateway, ("req", rid, tokens, self.now + 4 * S, f"s{rid}", key, tokens // 4, 200, None,
+                                2 if again is not None and self.case["marks"] else 0, 0, 0))
 
     def rejected(self, gateway, rid):
         work, again = self.reqs[gateway, rid]
@@ -216,4 +218,4 @@
     return {"gateways": gateways, "rate": one(4, 10, 25) if gateways != 200 else one(4, 10),
             "load": one(0.4, 0.7, 0.9), "skew": one(1, 3, 6), "burst": one(1.0, 1.5, 2.5),
             "fresh": one(0.0, 0.0, 0.3, 0.7), "late": one(0.0, 0.0, 0.3), "cold": cold, "hot": one(0.0, 0.2, 0.6),
-            "failing": one(0.0, 0.0, 0.1, 0.3), "retries": one(False, True), "kinds": kinds}
+            "failing": one(0.0, 0.0, 0.1, 0.3), "retries": one(False, True), "kinds": kinds, "marks": one(True, True, False)}
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -29,7 +29,10 @@
 # Part of the time to let go that connections may use to come up, then each so little: a forward is not out
 # before, and the rest is the release's. Could harm where all are slow to come up.
 UP_PART, LEAST_UP_US = 0.75, 10 * MS
-COLD_HOMES = 2  # a prefix goes to every so many-th cold reader; no one's turns grow by more, whatever is hot
+COLD_HOMES = 2  # a prefix goes to every so many-th cold reader; no one's turns grow by more, whatever is hot,
+COLD_HOT = 0.1  # and a hot one to so many that it adds this part at the most to any one's
+RUSH_US = 1000 * MS  # half life of the count of own reqs that a rush shows in
+REPEAT = 2 | 16  # bits of a req that its client has sent before
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
 
@@ -96,6 +99,7 @@
         self.kind_cost = [[0.0, 0.0] for _ in self.kinds]  # read time and tokens lately
         self.heat, self.spare, self.lost = {}, 10.0, {}  # reqs by prefix; forwards to spare; see reachable
         self.read_tokens, self.read_span, self.reads_out, self.subscribed = 0.0, MS, 0, True
+        self.rush, self.rush_us = 0.0, now_us  # reqs of the last moments
         self.asked = self.read_well = 0.0  # lately: reqs, less those without a turn; reads that ended well
         self.news, self.timer, self.moved_us, self.halved_us = 0, False, 0, now_us
         self.seen, self.ask_us, self.failing = 0, 0, 0.0  # outcomes since halving; part that fail
@@ -411,24 +415,31 @@
         """The just-started server that takes this forward, or None: each by its share, an equal one at the
         most, times the part that the rule lets it be sent. In own reqs and not in time, so that a router that
         has just started or hears little knows its part too, all add up to it, and nothing is saved for a
-        burst; the less of the reqs is served, the less. Could harm where more is asked than ever served."""
+        burst; the less of the reqs is served, and the more come at once, the less. A req has one draw,
+        whatever its retries and its client's. Could harm where more is asked than ever served, and repeats
+        while all of a role are cold."""
         served = min(1.0, (self.read_well + self.reads_out + 1) / (self.asked + 1))
+        usual = sum(m[0] for m in self.mix) * RUSH_US / log(2) / (self.read_span + self.now - self.moved_us)
+        served *= min(1.0, (usual + 1) / max(1.0, self.rush))
         parts = []
         for m, share in zip(cold, shares):
             level = self.cold_from + (1 - self.cold_from) * (self.now - m.started_us) / self.cold_us
             parts.append((m, share * served * min(1.0, self.cold_multiple * level * COLD_PART)))
         if key is not None and len(parts) > 2:  # most work there is text that it has not kept
             parts.sort(key=lambda p: -log(1 - self.hash(key, p[0])) / max(p[1], 1e-9))
-            homes, whole = ceil(len(parts) / COLD_HOMES), sum(part for _, part in parts)
-            parts = [(m, min(whole / homes, COLD_HOMES * part)) for m, part in parts[:homes]]
+            more = min(COLD_HOMES, 1 + COLD_HOT / max(0.01, self.heat_of(key)))
+            homes, whole = ceil(len(parts) / more), sum(part for _, part in parts)
+            parts = [(m, min(whole / homes, more * part)) for m, part in parts[:homes]]
         ends = accumulate(part for _, part in parts)
         return next((m for (m, _), end in zip(parts, ends) if at < end), None)
 
-    def on_req(self, rid, tokens, expires, session, prefix, prefix_tokens, _out, _hint, _bits, tenant, group):
+    def on_req(self, rid, tokens, expires, session, prefix, prefix_tokens, _out, _hint, bits, tenant, group):
         g = self.groups[group]
         target = self.now + g.target_us + g.target_per_1000_us * tokens // 1000
         req = self.reqs[rid] = Req(rid, group, tenant or 0, tokens, self.now, expires, target)
         req.session, req.prefix, req.prefix_tokens = session, prefix, prefix_tokens or 0
+        req.repeat = bool(bits & REPEAT)
+        self.rush, self.rush_us = self.rush * 0.5 ** ((self.now - self.rush_us) / RUSH_US) + 1, self.now
         self.mix[group] = [self.mix[group][0] + 1, self.mix[group][1] + tokens]
         self.spare, self.asked = min(10.0, self.spare + 0.6), self.asked + 1
         if prefix is not None:
@@ -441,14 +452,15 @@
     def read(self, req):
         if len(req.forwards) >= self.most_forwards - 1 or self.now + self.margin_us >= req.expires:
             return self.give_up(req)
-        at = self.chance() if self.now < self.cold_until else 1.0  # for both, so that their parts coincide
+        # One draw for both roles, so that their parts coincide.
+        at = self.chance() if self.now < self.cold_until and not req.forwards and not req.repeat else 1.0
         reader, ready_us = self.choose_reader(req, at)
         writers = [w for w in self.writers if self.usable(w, req)]
         if reader and not reader.writes and all(w.cold for w in writers):  # no read that no writer takes
             req.turn = self.turn_of(at, writers, [1 / len(self.writers) for _ in writers])
             reader = reader if req.turn else None
         if reader is None:
-            self.asked -= 1
+            self.asked = max(0.0, self.asked - 1)
             return self.give_up(req)
         # Its client may leave before the target: what takes longer is work for nobody.
         patience = req.expires - self.now - self.margin_us
@@ -485,7 +497,10 @@
         usable = self.reachable(self.readers, req)
         cold, usable = [r for r in usable if r.cold], [r for r in usable if not r.cold]
         key = req.prefix if req.prefix is not None else req.session
-        turn = self.turn_of(at, cold, [min(self.share[r.id], 1 / len(self.readers)) for r in cold], key)
+        # What counts there is work: a long prompt's turns are as much rarer as it is longer than the mean.
+        long = req.tokens * sum(m[0] for m in self.mix) / max(1, sum(m[1] for m in self.mix))
+        parts = [min(self.share[r.id], 1 / len(self.readers)) for r in cold]
+        turn = self.turn_of(at * max(1.0, long), cold, parts, key)
         if turn or not usable:
             return turn, 0
         drawn = self.draw([(r, self.share[r.id] + (0.3 / len(usable) if r.suspect else 0.0)) for r in usable])
@@ -554,7 +569,8 @@
         if cold:  # never more than an equal share of all, however near it is to some readers
             most = 1 / len(self.writers) / np.maximum(self.pairs.sum(axis=0), 1e-9)
             turns = shares / (shares.sum() or 1.0) * np.minimum(1.0, most)
-            turn = self.turn_of(self.chance(), cold, [turns[self.column[w.id]] for w in cold])
+            at = 1.0 if any(stage == "write" for _, stage, *_ in req.forwards) else self.chance()
+            turn = self.turn_of(at, cold, [turns[self.column[w.id]] for w in cold])
             if turn or not usable:
                 return turn
         row = [(w, shares[self.column[w.id]] or 1e-6) for w in usable]
