--- a/lapiswing/lab/coldfleet.py
+++ b/lapiswing/lab/coldfleet.py
@@ -63,6 +63,7 @@
             [s for s in self.servers if s[0] == role]) if i < round(part * case["kinds"][role])}
         self.busy = dict.fromkeys(self.servers, 0.0)
         self.out, self.where, self.works, self.reqs = {}, {}, {}, {}
+        self.ended = set()  # reqs that were served
         self.arrivals, self.taken, self.done = [], 0, 0  # arrivals: (us, server, work, told)
         g = case["gateways"]
         self.late = set(range(g - round(case["late"] * g), g))
@@ -156,7 +157,9 @@
             self.tell(0, gateway, ("first", rid, server, latency, number))
             return self.push(self.now + 300 * MS, ("end", key, "done", latency + 300 * MS))
         del self.out[key]
-        self.done += code == "done"
+        if code == "done":
+            self.done += 1
+            self.ended.add((gateway, rid))
         self.tell(0, gateway, ("outcome", rid, number, server, code, latency, code == "done", 0, None))
 
     def restart(self):
@@ -197,6 +200,12 @@
                 most = max(most, (work / (n + 2 * sqrt(n) + 2), server, work, n))
         return most
 
+    def long_against_all(self):
+        """Of the tenth of the reqs with the longest prompts: the part served, against that of all."""
+        works = sorted(work for work, _ in self.reqs.values())
+        long = [key for key, (work, _) in self.reqs.items() if work >= works[len(works) * 9 // 10]]
+        return sum(key in self.ended for key in long) / len(long) / (len(self.ended) / len(self.reqs))
+
     def part_of_cold(self):
         """Work that cold servers were sent, as a part of what the settings allow them."""
         work = sum(w for at, s, w, told in self.arrivals if s in self.cold and START_US <= at < START_US + 8 * S)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -168,3 +168,21 @@
     assert owner.closed == [None] and isinstance(streams[0], Stream) and not loop.timers[0][2].call
     listener.close()
     loop.close()
+
+
+def test_events_reach_the_client_as_they_come(tmp_path):
+    """Not later than 0.3 s after the server wrote them: here each of them before the next one is written."""
+    with Door(tmp_path, ("both",)) as door:
+        server = door.platform.servers["s-1"]
+        server.events, server.pause_us = 5, 100 * MS
+        client, seen = door.ask("a1"), []
+
+        def look():
+            count = client.look().count(b'"content"')
+            if count > len(seen):
+                seen.extend([door.loop.clock.now_us()] * (count - len(seen)))
+            return len(seen) == 5
+        door.until(look)
+        gaps = [b - a for a, b in zip(seen, seen[1:])]
+        assert min(gaps) > 50 * MS and max(gaps) < 300 * MS, gaps
+        assert client.whole().status == 200
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -102,3 +102,9 @@
         play.at(33_000, play.outcome(int(rid), 0, play.sent()[asked.index(rid)][2], "full"))
     assert play.router.asked >= 0
     play.at(33_100, play.req(99))
+
+
+@pytest.mark.parametrize("cold", [{"r": 0.5}, {"r": 0.25, "w": 0.5}])
+def test_long_prompts_are_served_beside_cold_servers(cold):
+    """Their turns are rarer, so they go to the warm ones: the tenth with the longest prompts keeps its floor."""
+    assert sent_cold(cold=cold).long_against_all() > 2 / 3
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -206,3 +206,13 @@
         assert door.loop.clock.now_us() - began < LIMIT_US
         assert all(door.ask(f"a{i}").whole().status == 200 for i in range(3))
         assert {row[0] for row in door.platform.seen(b"POST")} == {"s-2"}
+
+
+def test_an_indented_list_is_taken_like_any_other(tmp_path):
+    with Door(tmp_path, ("both", "both")) as door:
+        discovery = door.platform.discovery
+        for indent in (2, "\t"):
+            whole = json.dumps(discovery.whole() | {"index": 70}, indent=indent).encode().replace(b"\n", b"\r\n")
+            door.node.rows.rows.clear()
+            door.node.discovery.answered(door.node.discovery.call, 200, whole)
+            assert set(door.node.rows.rows) == {"s-1", "s-2"} and door.node.rows.index == 70
