--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -291,7 +291,7 @@
         # What can't run twice goes on a new connection: on a kept one that the box closes just now, nobody can tell
         # whether it ran.
         fresh = stage != "read" and self.facts[spec.group].effect == "non-replayable"
-        owner = Ear(self, req, req.rid, number, out)
+        owner = AttemptListener(self, req, req.rid, number, out)
         out.timer = self.loop.call_at(min(now + timeout_us, req.expires_us - self.margin_us // 2),
                                       self.timed_out, req, req.rid, number)
 
@@ -677,7 +677,7 @@
     resume = pause
 
 
-class Ear:
+class AttemptListener:
     """Hears one forward for the core."""
     __slots__ = ("core", "req", "rid", "number", "out")
 
