--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -161,7 +161,7 @@
         self.finish("full" if proved else of_failure(stage))
 
 
-class Small:
+class ControlCall:
     """A call without a body, to a server of the list. `done(code, status, report, body)`, once."""
 
     def __init__(self, servers, server, method, target, timeout_us, done):
@@ -220,9 +220,9 @@
         if self.wave == WAVES or not self.servers.addresses:
             return self.end()
         self.timer = self.servers.loop.call_later(self.servers.let_go_us // reach.PARTS, self.go)
-        for small in self.out[-reach.AT_ONCE:]:
-            if small.done:
-                self.servers.silent(small.server)
+        for call in self.out[-reach.AT_ONCE:]:
+            if call.done:
+                self.servers.silent(call.server)
         line = (self.servers.reach.order if self.wave else self.servers.reach.first)(self.holder)
         for _ in range(reach.more_at(self.wave)):
             self.send(line)
@@ -235,8 +235,8 @@
             self.tried.clear()
             server = line[0]
         self.tried.add(server)
-        small = Small(servers, server, b"DELETE", self.target, servers.let_go_us // 2, self.answered)
-        self.out.append(small)
+        call = ControlCall(servers, server, b"DELETE", self.target, servers.let_go_us // 2, self.answered)
+        self.out.append(call)
 
     def answered(self, code, status, _report, _body):
         if self.timer is None:
@@ -254,8 +254,8 @@
         if self.timer is not None:
             self.timer.cancel()
         self.timer = None
-        for small in self.out:
-            small.cancel()
+        for call in self.out:
+            call.cancel()
         self.servers.releasing -= 1
 
 
@@ -305,7 +305,7 @@
         def told(code, status, _report, _body):
             refused = code in ("unreachable", "moot") or code == "done" and status in (404, 409)
             done(True if code == "done" and status == 200 else False if refused else None)
-        Small(self, server, b"POST", ROOMS + name, 1000 * MS, told)
+        ControlCall(self, server, b"POST", ROOMS + name, 1000 * MS, told)
 
     def probe(self, server, done):
         if server not in self.addresses:
@@ -315,7 +315,7 @@
             good = code == "done" and status == 200
             done("done" if good else "error" if code == "done" else code,
                  report or (load_of(body, self.load_names) if good and self.reports else None))
-        Small(self, server, b"GET", LOADED if self.reports else HEALTHY, PROBE_US, told)
+        ControlCall(self, server, b"GET", LOADED if self.reports else HEALTHY, PROBE_US, told)
 
 
 class Nowhere:
