--- a/lapiswing/gateway/fronts/chat.py
+++ b/lapiswing/gateway/fronts/chat.py
@@ -74,7 +74,7 @@
         listener.follow(self.core, self.core.take(spec, listener))
 
 
-class Answering(Listener):
+class ResponseWriter(Listener):
     """What both forms of answer share."""
 
     def __init__(self, exchange, call):
@@ -98,7 +98,7 @@
         self.exchange.respond(status, body, more=[NO_RETRY])
 
 
-class Whole(Answering):
+class Whole(ResponseWriter):
     full = False  # it takes everything until the end
 
     def on_begin(self):
@@ -111,7 +111,7 @@
         self.exchange.json(200, answer.assembler.completion())
 
 
-class Streamed(Answering):
+class Streamed(ResponseWriter):
     def on_begin(self):
         self.exchange.begin(200, SSE)
 
--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -77,7 +77,7 @@
         except Wrong as problem:
             exchange.keep = False  # what stands behind it is not read: it may be hundreds more of its kind
             return exchange.json(problem.status, {"error": {"message": str(problem)}})
-        listener = Answering(exchange)
+        listener = ResponseWriter(exchange)
         listener.follow(self.core, self.core.take(spec, listener))
 
     def spec(self, exchange):
@@ -109,7 +109,7 @@
                     rid=rid_text, bits=RETRIES.get(once(fields, RETRY), 0))
 
 
-class Answering(Listener):
+class ResponseWriter(Listener):
     def on_begin(self):
         self.exchange.begin(200, STREAM)
 
