--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -55,7 +55,7 @@
     mapping: Mapping = Mapping()
 
 
-class Lines:
+class RateLimitedLog:
     """Bounds the log, which counts as memory here."""
 
     def __init__(self, log, clock):
@@ -89,7 +89,7 @@
         self.path = path
         self.config, settings = configs.load(path)
         clock = loop.clock if loop else Clock()
-        self.log = Lines(log, clock)
+        self.log = RateLimitedLog(log, clock)
         self.loop = loop or Loop(clock, on_error=lambda problem: self.log.error(
             "fault", why=f"{type(problem).__name__}: {problem}", exc_info=problem))
         # What the process may really open counts where that is less than the configuration says.
