--- a/lapiswing/benchlink/wire.py
+++ b/lapiswing/benchlink/wire.py
@@ -6,7 +6,7 @@
 
 from lapiswing.interface import Server
 from lapiswing.policy import Router
-from lapiswing.words import report, settings_of, us
+from lapiswing.translation import report, settings_of, us
 
 CODES = {"ok": "done", "half_done": "read", "timeout": "timed_out", "connect_failed": "unreachable"}
 
--- a/lapiswing/node/config.py
+++ b/lapiswing/node/config.py
@@ -6,7 +6,7 @@
 
 from lapiswing.errors import OperatorError
 from lapiswing.loop import address_of
-from lapiswing.words import settings_of
+from lapiswing.translation import settings_of
 
 
 class ConfigError(OperatorError, ValueError):
--- a/lapiswing/node/outcomes.py
+++ b/lapiswing/node/outcomes.py
@@ -4,7 +4,7 @@
 forward did not run; everything else may have."""
 from math import isfinite
 
-from lapiswing.words import report
+from lapiswing.translation import report
 
 # The server found the request itself wrong; another one would say the same, so it is the client's answer.
 ABOUT_THE_REQ = {400, 404, 405, 411, 413, 414, 415, 417, 422, 431}
