--- a/lapiswing/lab/coldfleet.py
+++ b/lapiswing/lab/coldfleet.py
@@ -64,7 +64,7 @@
         self.busy = dict.fromkeys(self.servers, 0.0)
         self.out, self.where, self.works, self.reqs = {}, {}, {}, {}
         self.ended = set()  # reqs that were served
-        self.arrivals, self.taken, self.done = [], 0, 0  # arrivals: (us, server, work, told)
+        self.arrivals, self.taken = [], 0  # arrivals: (us, server, work, told)
         g = case["gateways"]
         self.late = set(range(g - round(case["late"] * g), g))
         self.fresh = set(range(round(case["fresh"] * g)))
@@ -158,7 +158,6 @@
             return self.push(self.now + 300 * MS, ("end", key, "done", latency + 300 * MS))
         del self.out[key]
         if code == "done":
-            self.done += 1
             self.ended.add((gateway, rid))
         self.tell(0, gateway, ("outcome", rid, number, server, code, latency, code == "done", 0, None))
 
@@ -200,6 +199,10 @@
                 most = max(most, (work / (n + 2 * sqrt(n) + 2), server, work, n))
         return most
 
+    @property
+    def done(self):
+        return len(self.ended)
+
     def long_against_all(self):
         """Of the tenth of the reqs with the longest prompts: the part served, against that of all."""
         works = sorted(work for work, _ in self.reqs.values())
