A cold server gets no prompt that alone overloads it; all cold, no rush counts as usual

Ruled out: repeats as the cause (a draw by conversation broke more, docs/ROADMAP.md), hot texts (halving their concentration broke more). At fault: choose_reader only made the turns of a long prompt rarer; turn_of took `usual` from what came in, which learns a rush within 2 s and counted marked repeats, which have no turn. Change: where warm servers are left, a prompt over root of N and one goes to them; where all are cold, the load is held against what this gateway's part of them served or can do; marked repeats no longer count to the rush.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -3,7 +3,7 @@
 The ordinary path is the pair table and shares of docs/design.md; the rest guards it when things fail."""
 from bisect import bisect_left
 from itertools import accumulate
-from math import ceil, log
+from math import ceil, log, sqrt
 from zlib import crc32
 
 import numpy as np
@@ -81,6 +81,7 @@
         self.start_cost = max([g.target_per_1000_us / 1000 for g in self.groups] + [0.0]) or 50.0
         self.margin_us, self.cold_multiple = settings.get("resolution_us", MS), rules["fall_multiple"]
         self.cold_from, self.cold_us = rules["cold_from"], rules["ramp_time_us"] * 1.2
+        self.fall_us = rules["overload_for_us"]  # the window in which a cold server's work is counted
         self.up_us = int((family.get("let_go_by_us") or 500 * MS) * UP_PART)
         self.asks = settings.get("membership_mode") == "subscribe"
         self.quota = [t.get("quota_rps", 0) / self.gateways for t in settings.get("tenants") or []]
@@ -99,7 +100,7 @@
         self.kind_cost = [[0.0, 0.0] for _ in self.kinds]  # read time and tokens lately
         self.heat, self.spare, self.lost = {}, 10.0, {}  # reqs by prefix; forwards to spare; see reachable
         self.read_tokens, self.read_span, self.reads_out, self.subscribed = 0.0, MS, 0, True
-        self.rush, self.rush_us = 0.0, now_us  # reqs of the last moments
+        self.rush, self.rush_us = 0.0, now_us  # reqs of the last moments that may have a turn
         self.asked = self.read_well = 0.0  # lately: reqs, less those without a turn; reads that ended well
         self.news, self.timer, self.moved_us, self.halved_us = 0, False, 0, now_us
         self.seen, self.ask_us, self.failing = 0, 0, 0.0  # outcomes since halving; part that fail
@@ -411,20 +412,43 @@
         usable = [m for m in machines if self.usable(m, req) and self.may_forward(req, m)]
         return [m for m in usable if m.zone not in lost] or usable
 
-    def turn_of(self, at, cold, shares, key=None):
+    def cold_level(self, m):
+        """What the rule lets a just-started server be sent by now, as a multiple of what a warm one can do."""
+        warmed = (self.now - m.started_us) / self.cold_us
+        return self.cold_multiple * (self.cold_from + (1 - self.cold_from) * warmed)
+
+    def bears(self, m, long, mean):
+        """Whether one prompt, `long` times the mean of `mean` tokens, leaves a cold prefill server half of what
+        the rule allows for chance. Guards against a prompt that alone brings it down; could harm long prompts
+        where few servers are warm."""
+        n = self.fall_us * self.cold_level(m) / max(1.0, mean * self.cost_of(m))
+        return long <= sqrt(n) + 1
+
+    def readers_rate(self):
+        """Requests a second that this gateway's part of all prefill servers can do: the more of what warm ones
+        served and what the reads' own cost allows. No bound while nothing was served."""
+        served = sum(took / of for took, of in (self.kind_took[r.kind] for r in self.readers))
+        mean = sum(m[1] for m in self.mix) / max(1, sum(m[0] for m in self.mix))
+        able = sum(1e6 / max(1.0, mean * self.cost_of(r)) for r in self.readers) / self.gateways
+        return max(served, able) if served else 1e6
+
+    def turn_of(self, at, cold, shares, all_cold, key=None):
         """The just-started server that takes this forward, or None: each by its share, an equal one at the
         most, times the part that the rule lets it be sent. In own reqs and not in time, so that a router that
         has just started or hears little knows its part too, all add up to it, and nothing is saved for a
         burst; the less of the reqs is served, and the more come at once, the less. A req has one draw,
-        whatever its retries and its client's. Could harm where more is asked than ever served, and repeats
-        while all of a role are cold."""
+        whatever its retries and its client's. Could harm where more is asked than ever served, and where all
+        of a role are cold after a time of little traffic."""
+        if not cold:
+            return None
         served = min(1.0, (self.read_well + self.reads_out + 1) / (self.asked + 1))
         usual = sum(m[0] for m in self.mix) * RUSH_US / log(2) / (self.read_span + self.now - self.moved_us)
+        if all_cold:  # no jam shows then, and `usual` would learn the rush
+            usual = min(usual, self.readers_rate() * RUSH_US / 1e6 / log(2))
         served *= min(1.0, (usual + 1) / max(1.0, self.rush))
         parts = []
         for m, share in zip(cold, shares):
-            level = self.cold_from + (1 - self.cold_from) * (self.now - m.started_us) / self.cold_us
-            parts.append((m, share * served * min(1.0, self.cold_multiple * level * COLD_PART)))
+            parts.append((m, share * served * min(1.0, self.cold_level(m) * COLD_PART)))
         if key is not None and len(parts) > 2:  # most work there is text that it has not kept
             parts.sort(key=lambda p: -log(1 - self.hash(key, p[0])) / max(p[1], 1e-9))
             more = min(COLD_HOMES, 1 + COLD_HOT / max(0.01, self.heat_of(key)))
@@ -439,7 +463,8 @@
         req = self.reqs[rid] = Req(rid, group, tenant or 0, tokens, self.now, expires, target)
         req.session, req.prefix, req.prefix_tokens = session, prefix, prefix_tokens or 0
         req.repeat = bool(bits & REPEAT)
-        self.rush, self.rush_us = self.rush * 0.5 ** ((self.now - self.rush_us) / RUSH_US) + 1, self.now
+        fade = 0.5 ** ((self.now - self.rush_us) / RUSH_US)
+        self.rush, self.rush_us = self.rush * fade + (not req.repeat), self.now
         self.mix[group] = [self.mix[group][0] + 1, self.mix[group][1] + tokens]
         self.spare, self.asked = min(10.0, self.spare + 0.6), self.asked + 1
         if prefix is not None:
@@ -457,7 +482,7 @@
         reader, ready_us = self.choose_reader(req, at)
         writers = [w for w in self.writers if self.usable(w, req)]
         if reader and not reader.writes and all(w.cold for w in writers):  # no read that no writer takes
-            req.turn = self.turn_of(at, writers, [1 / len(self.writers) for _ in writers])
+            req.turn = self.turn_of(at, writers, [1 / len(self.writers) for _ in writers], True)
             reader = reader if req.turn else None
         if reader is None:
             self.asked = max(0.0, self.asked - 1)
@@ -498,9 +523,11 @@
         cold, usable = [r for r in usable if r.cold], [r for r in usable if not r.cold]
         key = req.prefix if req.prefix is not None else req.session
         # What counts there is work: a long prompt's turns are as much rarer as it is longer than the mean.
-        long = req.tokens * sum(m[0] for m in self.mix) / max(1, sum(m[1] for m in self.mix))
-        parts = [min(self.share[r.id], 1 / len(self.readers)) for r in cold]
-        turn = self.turn_of(at * max(1.0, long), cold, parts, key)
+        mean = sum(m[1] for m in self.mix) / max(1, sum(m[0] for m in self.mix))
+        long = req.tokens / max(1, mean)
+        bearing = [r for r in cold if not usable or self.bears(r, long, mean)]
+        parts = [min(self.share[r.id], 1 / len(self.readers)) for r in bearing]
+        turn = self.turn_of(at * max(1.0, long), bearing, parts, not usable, key)
         if turn or not usable:
             return turn, 0
         drawn = self.draw([(r, self.share[r.id] + (0.3 / len(usable) if r.suspect else 0.0)) for r in usable])
@@ -570,7 +597,7 @@
             most = 1 / len(self.writers) / np.maximum(self.pairs.sum(axis=0), 1e-9)
             turns = shares / (shares.sum() or 1.0) * np.minimum(1.0, most)
             at = 1.0 if any(stage == "write" for _, stage, *_ in req.forwards) else self.chance()
-            turn = self.turn_of(at, cold, [turns[self.column[w.id]] for w in cold])
+            turn = self.turn_of(at, cold, [turns[self.column[w.id]] for w in cold], not usable)
             if turn or not usable:
                 return turn
         row = [(w, shares[self.column[w.id]] or 1e-6) for w in usable]
