A late attempt is moved only where enough reads tell what is usual

Checked, with each choice, attempt and outcome logged: 942 of some 6,100 reads were taken back and sent again, prefill servers had 1,000 to 9,300 tokens a second of real work and medians of 40 ms to 8 s; 690 requests were refused at once. At fault: look_for_silence, whose `usual` time is a prior while a gateway has seen fewer reads than there are servers: two hundred gateways then took a common jam for single late reads, and each move was one more read, as these servers do not stop what is taken back.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -33,6 +33,7 @@
 COLD_HOT = 0.1  # and a hot one to so many that it adds this part at the most to any one's
 RUSH_US = 1000 * MS  # half life of the count of own reqs that a rush shows in
 REPEAT = 2 | 16  # bits of a req that its client has sent before
+LATE_READS = 1  # own recent reads for each prefill server from which a late attempt is told from a common jam
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
 
@@ -355,6 +356,7 @@
         """What a silent server holds, or later forwards have far overtaken there, is as good as lost: reads
         have no effect, and writes are taken back where a repeat does no harm. Guards against messages that
         vanish anywhere, and one stuck slot; could harm where a server answers out of order by habit."""
+        known = self.reads.sum() >= LATE_READS * len(self.readers)
         suspects = sum(m.suspect and m.mode == "ready" for m in self.machines.values())
         self.mode("trouble in common", suspects * 2 > len({*self.row, *self.column}), f"{suspects} suspects")
         for m in [m for m in self.machines.values() if m.waiting]:
@@ -368,8 +370,9 @@
                 _, stage, _, _, _, ahead = req.forwards[number]
                 # Far behind what it should take alone: behind others' work, or its answer was lost. Could
                 # harm where taking back stops nothing; the usual time keeps a common jam from moving all.
+                # Without enough reads to tell it, the moves of many gateways would multiply a jam.
                 again, holder = self.groups[req.group].effect == "replayable", req.holder
-                late = (stage == "read" or stage == "write" and again and m.held < FULL) and (
+                late = known and (stage == "read" or stage == "write" and again and m.held < FULL) and (
                     max(0.25 * (req.target - req.arrived), 3 * usual) < waited
                     < min(req.target, req.expires) - self.now)
                 if late:
@@ -413,20 +416,20 @@
         return [m for m in usable if m.zone not in lost] or usable
 
     def cold_level(self, m):
-        """What the rule lets a just-started server be sent by now, as a multiple of what a warm one can do."""
+        """What the rule lets a just-started server be sent by now, in multiples of what a warm one can do."""
         warmed = (self.now - m.started_us) / self.cold_us
         return self.cold_multiple * (self.cold_from + (1 - self.cold_from) * warmed)
 
     def bears(self, m, long, mean):
-        """Whether one prompt, `long` times the mean of `mean` tokens, leaves a cold prefill server half of what
+        """Whether a prompt, `long` times the mean of `mean` tokens, leaves a cold prefill server half of what
         the rule allows for chance. Guards against a prompt that alone brings it down; could harm long prompts
         where few servers are warm."""
         n = self.fall_us * self.cold_level(m) / max(1.0, mean * self.cost_of(m))
         return long <= sqrt(n) + 1
 
     def readers_rate(self):
-        """Requests a second that this gateway's part of all prefill servers can do: the more of what warm ones
-        served and what the reads' own cost allows. No bound while nothing was served."""
+        """Requests a second that this gateway's part of all prefill servers can do: the more of what warm
+        ones served and what the reads' own cost allows. No bound while nothing was served."""
         served = sum(took / of for took, of in (self.kind_took[r.kind] for r in self.readers))
         mean = sum(m[1] for m in self.mix) / max(1, sum(m[0] for m in self.mix))
         able = sum(1e6 / max(1.0, mean * self.cost_of(r)) for r in self.readers) / self.gateways
