A list that crosses an attempt at a server that has left is heard, the attempt goes elsewhere

Seen: in a review of what ends, a whole list without a server that comes in the loop turn in which a request is taken, or its prefill ends: 502 at the client's deadline. Cause, by a test that forces the order: tell_members dropped the server from `kinds` while events before the news were still to be decided; Core.forward raised KeyError inside the round, and Core.turn threw away the rest of the round, the news among it. The decisions went on choosing servers that had left or drained until the next list. Change: servers are forgotten after the decisions have heard (forget_servers, which also forgets those whose attempts end later); what is behind a fault in a round is heard in the next one.

--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -98,6 +98,7 @@
         self.roles, self.name = roles, name
         self.events, self.reqs, self.count, self.ended = [], {}, 0, []
         self.kinds = {}  # box -> kind, also of those that have left the list
+        self.list_replaced = False  # servers may have left that `kinds` and `tally` still know
         self.draining, self.on_idle, self.open, self.line_each = False, None, 0, True
         self.counts = {"taken": 0, "done": 0, "pushed back": 0, "aborted": 0, "left": 0, "joined": 0, "replayed": 0,
                        "not taken": 0, "forwards": 0, "resumed": 0, "backstop": 0, "faults": 0, "capped": 0}
@@ -239,19 +240,24 @@
         for _ in range(ROUNDS):
             if not self.events:
                 break
-            events, self.events = self.events, []
+            events, self.events = iter(self.events), []
             now = self.loop.clock.now_us()
             try:
                 self.router.round(now, events, self)
             except Exception as problem:
-                # A fault in the module must not take the gateway with it: backstops still answer each req.
+                # A fault in the module must not take the gateway with it: backstops still answer each req, and
+                # what came after the event that it failed on is heard in the next round. A list would be lost else.
                 self.counts["faults"] += 1
+                self.events[:0] = events
                 self.lines.error("fault in the decisions", why=f"{type(problem).__name__}: {problem}", exc_info=True)
             self.round_us += self.loop.clock.now_us() - now
             self.rounds += 1
         if self.events:
             self.loop.soon(lambda: None)
-        elif self.ended:
+            return
+        if self.list_replaced:
+            self.forget_servers()
+        if self.ended:
             for req in self.ended:
                 if not req.outs:
                     self.release(req.rid)  # guards rule 5 against a module that forgot; mostly nothing is held
@@ -610,13 +616,19 @@
             self.tally.box(row.id).listed(row.started_us)
             self.changed("box", box=row.id, mode=row.mode, why=self.membership.why(row.id))
         self.events.append(news)
-        if news[1] != "update":  # what has left and has nothing out is forgotten
-            told = self.membership.told
-            for server in [b for b in self.kinds if b not in told and not self.tally.box(b).out]:
-                del self.kinds[server], self.tally.boxes[server]
+        self.list_replaced = self.list_replaced or news[1] != "update"
         self.lines.info("boxes", kind=news[1], ready=sum(r.mode == "ready" for r in self.membership.told.values()),
                       rows=[f"{r.id} {r.mode}" for r in news[2]][:20])
 
+    def forget_servers(self):
+        """Drops what is kept of servers that have left and have nothing out. Only once the decisions have heard of it:
+        an event before the news may still choose one of them."""
+        left = [server for server in self.kinds if server not in self.membership.told]
+        idle = [server for server in left if not self.tally.box(server).out]
+        for server in idle:
+            del self.kinds[server], self.tally.boxes[server]
+        self.list_replaced = len(idle) < len(left)  # the others once their attempts have ended
+
     def list_boxes(self, rows):
         self.tell_members(self.membership.list(rows, self.loop.clock.now_us()))
 
