An attempt tells its server what is left to the client as its head is written

With connections that come up 150 ms late, both attempts of a request told 148 ms more than was left. At fault: Servers.forward wrote the head before the connection was opened; ClientExchange kept those bytes.

--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -18,8 +18,9 @@
     After `cancel()` the handler hears nothing more."""
 
     def __init__(self, pool, address, head, body, handler):
+        """`head()` makes the head, as it is written."""
         self.pool, self.address, self.handler = pool, address, handler
-        self.data, self.size = [head, body], len(head) + len(body)
+        self.head, self.body, self.size = head, body, 0
         self.connect_us = pool.connect_us
         self.conn = self.connecting = None
         self.over = self.got_head = False
@@ -71,9 +72,11 @@
         self.raw, self.parser, self.left, self.done, self.keep = bytearray(), None, None, False, True
         self.in_chunk = False
         self.sent_before = self.stream.sent
-        for data in exchange.data:
-            self.stream.write(data)
-        exchange.data = None
+        head, body = exchange.head(), exchange.body
+        exchange.size = len(head) + len(body)
+        exchange.head = exchange.body = None
+        self.stream.write(head)
+        self.stream.write(body)
 
     def on_data(self, data):
         exchange = self.exchange
@@ -222,15 +225,18 @@
         self.opened = self.reused = 0
         self.sweep_timer = loop.call_later(1_000_000, self.sweep)
 
-    def request(self, address, method, target, fields, body, handler, fresh=False, up_us=None):
+    def request(self, address, method, target, fields, body, handler, fresh=False, up_us=None, late_fields=None):
         """`address` is (host, port), or a Unix socket's path. With `fresh` no kept connection is used: the answer to a request on a kept one
         that the server closes in the same instant is lost, though it may have run. `up_us`: less time for a new connection
-        than usual."""
+        than usual. `late_fields()`: further fields, asked for as the head is written, which a new connection may delay."""
         host = b"localhost" if isinstance(address, str) else b"%b:%d" % (address[0].encode(), address[1])
         fields = [(b"host", host), *fields]
         if body or method == b"POST":
             fields.append((b"content-length", b"%d" % len(body)))
-        exchange = ClientExchange(self, address, request_head(method, target, fields), body, handler)
+
+        def head():
+            return request_head(method, target, [*fields, *(late_fields() if late_fields is not None else ())])
+        exchange = ClientExchange(self, address, head, body, handler)
         if up_us is not None:
             exchange.connect_us = min(self.connect_us, up_us)
         conn = None if fresh else self.rested(address)
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -285,14 +285,17 @@
     def forward(self, owner, server, stage, raw, params, name, key, fresh, read_us=None, within_us=None,
                 up_us=None):
         forward = Forward(self, owner, server, name)
-        fields = [(ID, raw.rid), (DEADLINE, b"%.3f" % (max(0, within_us or 0) / 1e6)),
-                  (b"content-type", b"application/json")]
+        fields = [(ID, raw.rid), (b"content-type", b"application/json")]
+        due_us = self.loop.clock.now_us() + (within_us or 0)
+
+        def time_left():  # as the head is written: a connection that comes up late has used some of it
+            return [(DEADLINE, b"%.3f" % (max(0, due_us - self.loop.clock.now_us()) / 1e6))]
         address = self.addresses.get(server)
         if address is None:
             forward.exchange = Nowhere(self.loop, forward)
         else:
             forward.exchange = self.pool.request(address, raw.method, raw.target, fields, raw.body, forward,
-                                                 fresh, up_us)
+                                                 fresh, up_us, time_left)
         return forward
 
     def release(self, server, name):
