The client's idempotency key goes on to the servers, and its owner is the tenant

Checked: a trial with the fields of each request logged: clients send Idempotency-Key and Req-Owner. The front read neither, so servers could not know a repeat, and all requests used the first tenant's share.

--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -6,8 +6,8 @@
 
 from lapiswing.gateway.core import Spec
 from lapiswing.gateway.fronts.listener import Listener
-from lapiswing.node.names import (CHAT, DEADLINE, EXTRA, GROUP, ID, MOST_OUT, PREFIX, PREFIX_TOKENS, PROMPT,
-                                  READY, RETRIES, RETRY, RETRY_AFTER, SESSION)
+from lapiswing.node.names import (CHAT, DEADLINE, EXTRA, GROUP, ID, IDEMPOTENCY_KEY, MOST_OUT, OWNER, PREFIX,
+                                  PREFIX_TOKENS, PROMPT, READY, RETRIES, RETRY, RETRY_AFTER, SESSION)
 from lapiswing.node.servers import Ask
 
 RID = re.compile(rb"[0-9A-Za-z._~-]{1,64}")
@@ -59,9 +59,11 @@
 
 
 class Front:
-    def __init__(self, core, groups, ready):
+    def __init__(self, core, groups, tenants, ready):
+        """`tenants`: their names, in the order of the settings."""
         self.core, self.ready = core, ready
         self.groups = {g.name.encode(): i for i, g in enumerate(groups)}
+        self.tenants = {name.encode(): i for i, name in enumerate(tenants)}
 
     def app(self, exchange):
         try:
@@ -103,8 +105,9 @@
             raise Wrong("a request with this id is open", 409)
         now = self.core.loop.now
         tokens = extra.get(PROMPT) or max(1, len(exchange.body) // BYTES_A_TOKEN)
-        ask = Ask(exchange.method, exchange.target, rid, exchange.body)
-        return Spec(group, 0, ask, tokens, now + within_us, session.decode() if session else None,
+        ask = Ask(exchange.method, exchange.target, rid, exchange.body, once(fields, IDEMPOTENCY_KEY))
+        tenant = self.tenants.get(once(fields, OWNER), len(self.tenants))  # an unknown one has no quota
+        return Spec(group, tenant, ask, tokens, now + within_us, session.decode() if session else None,
                     extra.get(PREFIX), extra.get(PREFIX_TOKENS, 0), extra.get(MOST_OUT, 0), None, b"",
                     rid=rid_text, bits=RETRIES.get(once(fields, RETRY), 0))
 
--- a/lapiswing/node/names.py
+++ b/lapiswing/node/names.py
@@ -1,7 +1,8 @@
 """Every name of the platform's protocol, in one table."""
 # headers, in lower case as the HTTP layer gives them
 ID, GROUP, SESSION, DEADLINE = b"req-id", b"req-kind", b"req-key", b"req-deadline"
-EXTRA, RETRY = b"req-extra", b"req-retry"
+EXTRA, RETRY, OWNER = b"req-extra", b"req-retry", b"req-owner"
+IDEMPOTENCY_KEY = b"idempotency-key"  # of a class whose servers drop repeats; part of the request
 LOAD, DECLINED = b"srv-load", b"srv-declined"
 RETRY_AFTER = b"retry-after"
 # fields of EXTRA
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -116,7 +116,8 @@
             self.log, router)
         self.core.line_each = False
         self.rows = Rows(settings["kinds"], settings["zones"], self.started_us)
-        self.front = Front(self.core, settings["groups"], lambda: bool(self.rows.rows) and not self.stopping)
+        tenants = [str(tenant.get("name")) for tenant in settings.get("tenants") or []]
+        self.front = Front(self.core, settings["groups"], tenants, lambda: bool(self.rows.rows) and not self.stopping)
         self.server = Server(self.loop, self.front.app, HttpLimits(
             HEAD_BYTES, MOST, FIRST_US, FIRST_US, 120_000 * MS, 10_000 * MS, 4096, self.clients, FIRST_US))
         self.listener = self.discovery = None
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -7,7 +7,7 @@
 from lapiswing.engine.forward import Exchanged
 from lapiswing.http1.wire import get
 from lapiswing.node import reach
-from lapiswing.node.names import DEADLINE, DECLINED, HEALTHY, ID, LOAD, LOAD_LINE, LOADED, ROOMS
+from lapiswing.node.names import DEADLINE, DECLINED, HEALTHY, ID, IDEMPOTENCY_KEY, LOAD, LOAD_LINE, LOADED, ROOMS
 from lapiswing.node.outcomes import load_of, of_failure, of_status
 
 MS = 1000
@@ -26,6 +26,7 @@
     target: bytes
     rid: bytes
     body: bytes
+    key: bytes | None = None  # by which servers know a repeat
 
     @property
     def raw(self):  # what the core passes on of a call
@@ -286,6 +287,8 @@
                 up_us=None):
         forward = Forward(self, owner, server, name)
         fields = [(ID, raw.rid), (b"content-type", b"application/json")]
+        if raw.key is not None:
+            fields.append((IDEMPOTENCY_KEY, raw.key))
         due_us = self.loop.clock.now_us() + (within_us or 0)
 
         def time_left():  # as the head is written: a connection that comes up late has used some of it
--- /dev/null
+++ b/tests/test_client_fields.py
@@ -0,0 +1,49 @@
+"""What a client's head says goes where it belongs: the idempotency key to the servers, the owner to the decisions."""
+import pytest
+from platform_door import SETTINGS, Door
+
+TENANTS = [{"Name": "line-1", "QuotaRps": 4.0}, {"Name": "line-2", "QuotaRps": 2.0}]
+
+
+@pytest.mark.parametrize("key", ["730d63e7", None])
+@pytest.mark.parametrize("effect", ["dedup", "retryable"])
+def test_the_idempotency_key_goes_to_every_server_as_it_came(tmp_path, monkeypatch, key, effect):
+    """Without it no server knows a repeat: each attempt of a key-idempotent request was refused as another one's."""
+    monkeypatch.setitem(SETTINGS, "Classes", [{**SETTINGS["Classes"][0], "Effect": effect}])
+    with Door(tmp_path) as door:
+        seen = []
+
+        def record(exchange):
+            if exchange.method == b"POST":
+                seen.append(exchange.header(b"idempotency-key"))
+                if len(seen) == 1:  # a further attempt has it too
+                    exchange.respond(503, b"", more=[(b"srv-declined", b"1")])
+                    return True
+        for server in door.platform.servers.values():
+            server.fault = record
+        door.platform.add("read").fault = record
+        door.platform.discovery.tell(*(s.row() for s in door.platform.servers.values()))
+        door.until(lambda: len(door.core.router.row) == 2)
+        client = door.ask("r1", **({} if key is None else {"Idempotency_Key": key}))
+        door.until(lambda: client.look().endswith(b"0\r\n\r\n"))
+        assert client.status == 200 and len(seen) == 3
+        assert set(seen) == {key.encode() if key else None}
+
+
+@pytest.mark.parametrize("owner, tenant", [("line-1", 0), ("line-2", 1), ("somebody", 2), (None, 2)])
+def test_the_owner_is_the_tenant_and_an_unknown_one_uses_nobodys_share(tmp_path, monkeypatch, owner, tenant):
+    monkeypatch.setitem(SETTINGS, "Tenants", TENANTS)
+    with Door(tmp_path) as door:
+        before = list(door.core.router.quota_left)
+        client = door.ask("r1", Req_Owner=owner)
+        door.until(lambda: client.status)
+        used = [a - b for a, b in zip(before, door.core.router.quota_left)]
+        assert used == [float(i == tenant) for i in range(2)]
+
+
+def test_an_owner_or_a_key_that_is_given_twice_is_refused(tmp_path):
+    with Door(tmp_path) as door:
+        for name in ("Req-Owner", "Idempotency-Key"):
+            client = door.ask("r1", **{"Req-Kind": f"chat\r\n{name}: a\r\n{name}: b"})
+            door.until(lambda: client.status)  # noqa: B023
+            assert client.status == 400
