--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -33,7 +33,7 @@
 COLD_HOT = 0.1  # and a hot one to so many that it adds this part at the most to any one's
 RUSH_US = 1000 * MS  # half life of the count of own reqs that a rush shows in
 REPEAT = 2 | 16  # bits of a req that its client has sent before
-LATE_READS = 1  # own recent reads for each prefill server from which a late attempt is told from a common jam
+LATE_READS = 0.5  # own recent reads for each prefill server from which a late attempt is told from a common jam
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
 
