Discovery that is asked is not asked in a storm: long watches, growing pauses, changes first

At fault: Discovery.failed made no difference between a refusal and silence, and ask used waits of 1 s, also where membership_mode says that changes come only to those who ask, at a cost. Change, there alone: waits of 20 s, a list from the start is only brought up to date, a refused call keeps its place and comes again after 0.25 s, doubled up to 1 s, at another time at each gateway; a watch counts as silent 1 s past its wait, so that the list is there 2 s past it. The pushed mode is as before: test_over_all_orders_of_faults is unchanged.

--- a/lapiswing/node/discovery.py
+++ b/lapiswing/node/discovery.py
@@ -1,4 +1,6 @@
 """The watch of the platform's discovery. What can't be had or read leaves the last list standing."""
+from zlib import crc32
+
 import msgspec
 
 from lapiswing.interface import Server
@@ -14,6 +16,14 @@
 LATE_US = 700 * MS  # past that wait, for the whole of the answer
 MOST_LATE_US = 2800 * MS  # for an answer that was still coming in when its time was over
 AGAIN_US = 100 * MS  # after a call that failed
+# Where changes come only to those who ask, each call costs discovery work that all gateways share. So a watch waits long,
+# and one that was turned away comes again later and later, with what it has: asked at once for the whole list, all
+# gateways together keep discovery overloaded for good. A change counts as told 2 s after such a wait is over.
+ASKED_WAIT_MS = 20_000
+ASKED_LATE_US = 1900 * MS  # for a whole list, which waits in discovery's line
+ASKED_WATCH_LATE_US = 1000 * MS  # past a watch's wait; the rest of the 2 s is for the list that is asked for then
+REFUSED_US, MOST_REFUSED_US = 250 * MS, 1000 * MS  # pause after a call that was turned away: doubled each time up to
+REFUSALS = (429, 503)
 SLOW_BYTES = 65536  # of an answer that came in within its time, less is a drip
 LIST_BYTES = 8 << 20
 
@@ -100,17 +110,21 @@
 
 
 class Discovery:
-    def __init__(self, loop, pool, address, rows, on_rows, log):
+    def __init__(self, loop, pool, address, rows, on_rows, log, asked=False, seed=0):
+        """`asked`: whether changes come only to those who ask, at a cost; `seed` spreads the calls of many gateways."""
         self.loop, self.pool, self.address = loop, pool, address
         self.rows, self.on_rows, self.log = rows, on_rows, log
-        self.call, self.whole, self.silent, self.late_us = None, True, False, LATE_US
+        self.asked, self.seed, self.refused, self.calls = asked, seed, 0, 0
+        self.wait_ms, self.usual_late_us = (ASKED_WAIT_MS, ASKED_LATE_US) if asked else (WAIT_MS, LATE_US)
+        self.call, self.silent, self.late_us = None, False, self.usual_late_us
+        self.whole = not asked  # where a call costs, a list that was given at the start is only asked to be brought up to date
         self.timer = loop.call_later(0, self.ask)
 
     def move(self, address):
         """Asks another address from now on, for the whole list first."""
         self.stop()
         self.pool.close_idle(self.address)
-        self.address, self.whole = address, True
+        self.address, self.whole, self.refused = address, True, 0
         self.ask()
 
     def stop(self):
@@ -125,9 +139,12 @@
         if self.whole or self.rows.index is None:
             target, wait_us = TARGETS, 0
         else:
-            target, wait_us = b"%b?after=%d&wait_ms=%d" % (TARGETS, self.rows.index, WAIT_MS), WAIT_MS * MS
+            target = b"%b?after=%d&wait_ms=%d" % (TARGETS, self.rows.index, self.wait_ms)
+            wait_us = self.wait_ms * MS
+        late_us = ASKED_WATCH_LATE_US if self.asked and wait_us else self.late_us
+        self.calls += 1
         self.call = call = Call(self)
-        self.timer = self.loop.call_later(wait_us + self.late_us, self.too_late, call)
+        self.timer = self.loop.call_later(wait_us + late_us, self.too_late, call)
         call.exchange = self.pool.request(self.address, b"GET", target, [], b"", call)
 
     def too_late(self, call):
@@ -135,21 +152,29 @@
             # Still coming in, and not in drips: a list that is long for this machine.
             coming = call.size >= SLOW_BYTES and self.late_us < MOST_LATE_US
             self.failed(call, "no answer in time")
-            self.late_us = 2 * self.late_us if coming else LATE_US
+            self.late_us = 2 * self.late_us if coming else self.usual_late_us
 
-    def failed(self, call, why):
+    def failed(self, call, why, refused=False):
         if call is not self.call:
             return
         self.stop()
-        self.whole = True  # the next one waits for nothing, and what this one has missed is in it
+        pause_us = AGAIN_US
+        if refused and self.asked:
+            pause_us = min(MOST_REFUSED_US, REFUSED_US << min(self.refused, 8))
+            pause_us -= crc32(b"%d/%d" % (self.seed, self.calls)) % (pause_us // 2)
+            self.refused += 1
+        else:
+            self.whole = True  # the next one waits for nothing, and what this one has missed is in it
         if not self.silent:
             self.silent = True
             self.log.warning("discovery silent", why=why, boxes=len(self.rows.rows))
-        self.timer = self.loop.call_later(AGAIN_US, self.ask)
+        self.timer = self.loop.call_later(pause_us, self.ask)
 
     def answered(self, call, status, body):
         if call is not self.call:
             return
+        if status in REFUSALS:
+            return self.failed(call, f"status {status}", refused=True)
         try:
             if status != 200:
                 raise ValueError(f"status {status}")
@@ -157,7 +182,7 @@
             self.rows.take(targets)
         except (ValueError, msgspec.MsgspecError) as problem:
             return self.failed(call, f"can't be read: {problem}")
-        self.late_us = LATE_US
+        self.late_us, self.refused = self.usual_late_us, 0
         if self.silent:
             self.silent = False
             self.log.info("discovery heard", boxes=len(self.rows.rows))
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -120,6 +120,7 @@
         self.front = Front(self.core, settings["groups"], tenants, lambda: bool(self.rows.rows) and not self.stopping)
         self.server = Server(self.loop, self.front.app, HttpLimits(
             HEAD_BYTES, MOST, FIRST_US, FIRST_US, 120_000 * MS, 10_000 * MS, 4096, self.clients, FIRST_US))
+        self.asked = settings.get("membership_mode") == "subscribe"
         self.listener = self.discovery = None
         self.stopping, self.stopped_us = False, 0
 
@@ -131,7 +132,7 @@
         self.take_known()
         self.core.turn()
         self.discovery = Discovery(self.loop, self.asking, address_of(self.config.discovery), self.rows,
-                                   self.on_rows, self.log)
+                                   self.on_rows, self.log, self.asked, int(self.config.seed, 16))
         sock = listen_socket(*address_of(self.config.listen))
         self.listener = Listener(self.loop, sock, self.server.accept, self.clients, high=BUFFER,
                                  low=BUFFER // 4)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,7 +7,8 @@
 from platform_door import Door
 
 from lapiswing.loop import Loop, ManualClock
-from lapiswing.node.discovery import AGAIN_US, LATE_US, MOST_LATE_US, WAIT_MS, Discovery, Rows
+from lapiswing.node.discovery import (AGAIN_US, ASKED_WAIT_MS, LATE_US, MOST_LATE_US, MOST_REFUSED_US, WAIT_MS,
+                                      Discovery, Rows)
 
 MS, S = 1000, 1_000_000
 LIMIT_US = 5 * S
@@ -92,11 +93,11 @@
 
 
 class Played:
-    def __init__(self):
+    def __init__(self, asked=False):
         self.loop = Loop(ManualClock())
         self.heard, self.rows = [], Rows(["read", "write", "both"], ["a"], lambda ms: 0)
         self.pool = Scripted(self.loop, [])
-        self.discovery = Discovery(self.loop, self.pool, ("127.0.0.1", 1), self.rows, self.on_rows, self)
+        self.discovery = Discovery(self.loop, self.pool, ("127.0.0.1", 1), self.rows, self.on_rows, self, asked)
         self.until(lambda: self.rows.rows, S)
 
     def on_rows(self):
@@ -216,3 +217,99 @@
             door.node.rows.rows.clear()
             door.node.discovery.answered(door.node.discovery.call, 200, whole)
             assert set(door.node.rows.rows) == {"s-1", "s-2"} and door.node.rows.index == 70
+
+
+class NoLog:
+    def info(self, *_, **__):
+        pass
+
+    warning = info
+
+
+QUIET = NoLog()
+
+
+class Overloaded:
+    """In place of a discovery that many gateways ask: it works on one call after the other, some time on each, and turns
+    away what it could not answer within its time-out."""
+    COST_US, MOST_US = 60 * MS, 2 * S
+
+    def __init__(self, loop):
+        self.loop, self.index, self.mode, self.free_us, self.waiting, self.turned_away = loop, 1, "SERVING", 0, [], 0
+
+    def close_idle(self, address):
+        pass
+
+    def request(self, address, method, target, fields, body, handler):
+        call = Call(self, target, handler)
+        after = target.partition(b"after=")[2].partition(b"&")[0]
+        if after and int(after) >= self.index:
+            self.waiting.append(call)
+        else:
+            self.work_on(call)
+        return call
+
+    def work_on(self, call):
+        begin_us = max(self.loop.clock.now_us(), self.free_us)
+        if begin_us - self.loop.clock.now_us() > self.MOST_US:
+            self.turned_away += 1
+            return call.later(MS, call.whole, b"", 503)
+        self.free_us = begin_us + self.COST_US
+        call.later(self.free_us - self.loop.clock.now_us(), lambda: call.whole(call.answer()))
+
+    def change(self):
+        self.index, self.mode = self.index + 1, "DRAINING"
+        waiting, self.waiting = self.waiting, []
+        for call in waiting:
+            self.work_on(call)
+
+
+def test_many_gateways_that_ask_do_not_keep_discovery_overloaded():
+    """All start at once and hear of a change, of 60 ms work each. With a pause of 0.1 s and the whole list each time some
+    never heard of it."""
+    loop = Loop(ManualClock())
+    discovery, gateways = Overloaded(loop), []
+    for seed in range(60):
+        rows = Rows(["read", "write", "both"], ["a"], lambda ms: 0)
+        gateways.append(Discovery(loop, discovery, ("127.0.0.1", 1), rows, lambda: None, QUIET, asked=True, seed=seed))
+
+    def all_are(mode):
+        return all(g.rows.rows and g.rows.rows["s-1"].mode == mode for g in gateways)
+    try:
+        assert loop.run_until(lambda: all_are("ready"), 6 * S) and discovery.turned_away
+        loop.run_until(lambda: len(discovery.waiting) == len(gateways), S)
+        discovery.change()
+        assert loop.run_until(lambda: all_are("draining"), 6 * S)
+    finally:
+        for gateway in gateways:
+            gateway.stop()
+        loop.close()
+
+
+def test_a_call_that_was_turned_away_comes_later_and_with_what_it_has():
+    play = Played(asked=True)
+    assert play.until(lambda: play.rows.index == 1, S)
+    play.pool.script = ["503"] * 6
+    play.discovery.ask()
+    begin = len(play.pool.asked) - 1
+    play.until(lambda: len(play.pool.asked) - begin > 6, 8 * S)
+    asked = play.pool.asked[begin:]
+    pauses = [b - a for (a, _), (b, _) in zip(asked, asked[1:])]
+    assert all(b"after=1&wait_ms=%d" % ASKED_WAIT_MS in target for _, target in asked)
+    assert min(pauses) > 100 * MS and pauses[3] > pauses[0] and max(pauses) <= MOST_REFUSED_US + 10 * MS
+    play.discovery.stop()
+    play.loop.close()
+
+
+@pytest.mark.parametrize("after", [[], ["silent"]])
+def test_a_silent_watch_where_discovery_is_asked_is_found_out_before_it_counts_as_told(after):
+    """2 s after its wait is over; a further silent call counts anew, 6 s from there."""
+    play = Played(asked=True)
+    play.pool.script = ["silent", *after]
+    play.discovery.ask()
+    opened_us = play.loop.clock.now_us()
+    play.pool.index, play.pool.mode = 2, "DRAINING"
+    assert play.until(lambda: play.rows.rows["s-1"].mode == "draining", 40 * S)
+    assert play.loop.clock.now_us() - opened_us < ASKED_WAIT_MS * MS + (6 * S if after else 1500 * MS)
+    play.discovery.stop()
+    play.loop.close()
