--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -98,7 +98,7 @@
         self.roles, self.name = roles, name
         self.events, self.reqs, self.count, self.ended = [], {}, 0, []
         self.kinds = {}  # box -> kind, also of those that have left the list
-        self.list_replaced = False  # servers may have left that `kinds` and `tally` still know
+        self.departed = set()  # servers that have left the list and are not forgotten yet
         self.draining, self.on_idle, self.open, self.line_each = False, None, 0, True
         self.counts = {"taken": 0, "done": 0, "pushed back": 0, "aborted": 0, "left": 0, "joined": 0, "replayed": 0,
                        "not taken": 0, "forwards": 0, "resumed": 0, "backstop": 0, "faults": 0, "capped": 0}
@@ -255,8 +255,8 @@
         if self.events:
             self.loop.soon(lambda: None)
             return
-        if self.list_replaced:
-            self.forget_servers()
+        if self.departed:
+            self.forget_departed()
         if self.ended:
             for req in self.ended:
                 if not req.outs:
@@ -616,18 +616,17 @@
             self.tally.box(row.id).listed(row.started_us)
             self.changed("box", box=row.id, mode=row.mode, why=self.membership.why(row.id))
         self.events.append(news)
-        self.list_replaced = self.list_replaced or news[1] != "update"
+        if news[1] != "update":
+            self.departed = self.kinds.keys() - self.membership.told.keys()
         self.lines.info("boxes", kind=news[1], ready=sum(r.mode == "ready" for r in self.membership.told.values()),
                       rows=[f"{r.id} {r.mode}" for r in news[2]][:20])
 
-    def forget_servers(self):
-        """Drops what is kept of servers that have left and have nothing out. Only once the decisions have heard of it:
-        an event before the news may still choose one of them."""
-        left = [server for server in self.kinds if server not in self.membership.told]
-        idle = [server for server in left if not self.tally.box(server).out]
-        for server in idle:
+    def forget_departed(self):
+        """Drops what is kept of servers that have left, the others once their attempts have ended. Only once the decisions
+        have heard of it: an event before the news may still choose one of them."""
+        for server in [server for server in self.departed if not self.tally.box(server).out]:
+            self.departed.remove(server)
             del self.kinds[server], self.tally.boxes[server]
-        self.list_replaced = len(idle) < len(left)  # the others once their attempts have ended
 
     def list_boxes(self, rows):
         self.tell_members(self.membership.list(rows, self.loop.clock.now_us()))
--- a/lapiswing/lab/coldfleet.py
+++ b/lapiswing/lab/coldfleet.py
@@ -6,6 +6,7 @@
 import heapq
 from itertools import count
 from math import sqrt
+from typing import NamedTuple
 
 import numpy as np
 
@@ -47,6 +48,13 @@
         return lambda *args: None
 
 
+class Content(NamedTuple):
+    """What a request asks, the same in its client's repeats."""
+    work: float  # in requests of mean work
+    conversation: str
+    prefix: str
+
+
 class Fleet:
     """`case` names what differs: gateways, rate (reqs a second a server can do), load (part of all servers' rate),
     skew (how many times the mean a tenth of the gateways gets), burst (times the load from the start on), fresh and
@@ -62,7 +70,7 @@
         self.cold = {s for role, part in case["cold"].items() for i, s in enumerate(
             [s for s in self.servers if s[0] == role]) if i < round(part * case["kinds"][role])}
         self.busy = dict.fromkeys(self.servers, 0.0)
-        self.out, self.where, self.contents, self.reqs = {}, {}, {}, {}
+        self.out, self.where, self.reqs = {}, {}, {}
         self.ended = set()  # reqs that were served
         self.arrivals, self.taken = [], 0  # arrivals: (us, server, work, told)
         g = case["gateways"]
@@ -119,24 +127,23 @@
         if self.routers[gateway] is None:
             gateway = next(i for i in range(len(self.routers)) if self.routers[i] is not None)
         rid = f"q{len(self.reqs)}"
-        work, conversation, prefix = again or (float(self.chance.lognormal(-0.32, 0.8)), f"s{rid}", self.prefix())  # mean 1
-        tokens = max(20, int(1000 * work))
-        self.reqs[gateway, rid] = (work, again is not None)
-        self.contents[gateway, rid] = (work, conversation, prefix)
+        content = again or Content(float(self.chance.lognormal(-0.32, 0.8)), f"s{rid}", self.prefix())
+        tokens = max(20, int(1000 * content.work))
+        self.reqs[gateway, rid] = (content, again is not None)
         self.taken += again is None
-        self.tell(0, gateway, ("req", rid, tokens, self.now + 4 * S, conversation, prefix, tokens // 4, 200, None,
+        self.tell(0, gateway, ("req", rid, tokens, self.now + 4 * S, content.conversation, content.prefix, tokens // 4, 200, None,
                                 2 if again is not None and self.case["marks"] else 0, 0, 0))
 
     def prefix(self):
         return "hot" if self.chance.random() < self.case["hot"] else f"p{self.chance.integers(40)}"
 
     def rejected(self, gateway, rid):
-        again = self.reqs[gateway, rid][1]
+        content, again = self.reqs[gateway, rid]
         if self.case["retries"] and not again:
-            self.push(self.now + int(self.chance.uniform(50, 500)) * MS, ("arrive", self.contents[gateway, rid]))
+            self.push(self.now + int(self.chance.uniform(50, 500)) * MS, ("arrive", content))
 
     def attempt(self, gateway, rid, number, server, timeout_us):
-        work, role = self.reqs[gateway, rid][0], self.roles[server]
+        work, role = self.reqs[gateway, rid][0].work, self.roles[server]
         key = gateway, rid, number
         self.out[key] = self.where[key] = server
         told = gateway not in self.late or self.now >= START_US + 1500 * MS
@@ -211,8 +218,8 @@
 
     def long_against_all(self):
         """Of the tenth of the reqs with the longest prompts: the part served, against that of all."""
-        works = sorted(work for work, _ in self.reqs.values())
-        long = [key for key, (work, _) in self.reqs.items() if work >= works[len(works) * 9 // 10]]
+        works = sorted(content.work for content, _ in self.reqs.values())
+        long = [key for key, (content, _) in self.reqs.items() if content.work >= works[len(works) * 9 // 10]]
         return sum(key in self.ended for key in long) / len(long) / (len(self.ended) / len(self.reqs))
 
     def part_of_cold(self):
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -33,7 +33,7 @@
 COLD_HOT = 0.1  # and a hot one to so many that it adds this part at the most to any one's
 RUSH_US = 1000 * MS  # half life of the count of own reqs that a rush shows in
 REPEAT = 2 | 16  # bits of a req that its client has sent before
-LATE_READS = 0.5  # own recent reads for each prefill server from which a late attempt is told from a common jam
+LATE_READS = 0.5  # own recent reads for each prefill server that tell a late attempt from a common jam
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
 
@@ -420,6 +420,9 @@
         warmed = (self.now - m.started_us) / self.cold_us
         return self.cold_multiple * (self.cold_from + (1 - self.cold_from) * warmed)
 
+    def mean_tokens(self):  # of a prompt, lately
+        return sum(m[1] for m in self.mix) / max(1, sum(m[0] for m in self.mix))
+
     def bears(self, m, long, mean):
         """Whether a prompt, `long` times the mean of `mean` tokens, leaves a cold prefill server half of what
         the rule allows for chance. Guards against a prompt that alone brings it down; could harm long prompts
@@ -431,7 +434,7 @@
         """Requests a second that this gateway's part of all prefill servers can do: the more of what warm
         ones served and what the reads' own cost allows. No bound while nothing was served."""
         served = sum(took / of for took, of in (self.kind_took[r.kind] for r in self.readers))
-        mean = sum(m[1] for m in self.mix) / max(1, sum(m[0] for m in self.mix))
+        mean = self.mean_tokens()
         able = sum(1e6 / max(1.0, mean * self.cost_of(r)) for r in self.readers) / self.gateways
         return max(served, able) if served else 1e6
 
@@ -520,17 +523,21 @@
     def known(self, req, reader):  # prompt tokens that it should still have kept, as far as this router knows
         return max(reader.kept.get(req.session, 0), req.prefix_tokens if req.prefix in reader.kept else 0)
 
+    def cold_reader(self, req, at, cold, all_cold, key):
+        """The cold reader whose turn it is, or None. What counts there is work: a long prompt's turns are as
+        much rarer as it is longer than the mean."""
+        mean = self.mean_tokens()
+        long = req.tokens / max(1, mean)
+        bearing = [r for r in cold if all_cold or self.bears(r, long, mean)]
+        parts = [min(self.share[r.id], 1 / len(self.readers)) for r in bearing]
+        return self.turn_of(at * max(1.0, long), bearing, parts, all_cold, key)
+
     def choose_reader(self, req, at):
         """The reader, and in what time its read should end. The effects rule binds new reads too."""
         usable = self.reachable(self.readers, req)
         cold, usable = [r for r in usable if r.cold], [r for r in usable if not r.cold]
         key = req.prefix if req.prefix is not None else req.session
-        # What counts there is work: a long prompt's turns are as much rarer as it is longer than the mean.
-        mean = sum(m[1] for m in self.mix) / max(1, sum(m[0] for m in self.mix))
-        long = req.tokens / max(1, mean)
-        bearing = [r for r in cold if not usable or self.bears(r, long, mean)]
-        parts = [min(self.share[r.id], 1 / len(self.readers)) for r in bearing]
-        turn = self.turn_of(at * max(1.0, long), bearing, parts, not usable, key)
+        turn = self.cold_reader(req, at, cold, not usable, key) if cold else None
         if turn or not usable:
             return turn, 0
         drawn = self.draw([(r, self.share[r.id] + (0.3 / len(usable) if r.suspect else 0.0)) for r in usable])
--- a/tests/test_client_fields.py
+++ b/tests/test_client_fields.py
@@ -25,7 +25,7 @@
         door.platform.discovery.tell(*(s.row() for s in door.platform.servers.values()))
         door.until(lambda: len(door.core.router.row) == 2)
         client = door.ask("r1", **({} if key is None else {"Idempotency_Key": key}))
-        door.until(lambda: client.look().endswith(b"0\r\n\r\n"))
+        assert not client.whole().cut
         assert client.status == 200 and len(seen) == 3
         assert set(seen) == {key.encode() if key else None}
 
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -114,9 +114,9 @@
 
 def test_a_refused_client_repeats_the_same_conversation_and_prefix():
     fleet = Fleet(5, CALM | {"cold": {"r": 1.0}, "retries": True, "burst": 3.0}).play()
-    repeats = [key for key, (_, again) in fleet.reqs.items() if again]
-    first = {fleet.contents[key] for key, (_, again) in fleet.reqs.items() if not again}
-    assert len(repeats) > 50 and all(fleet.contents[key] in first for key in repeats)
+    repeats = [content for content, again in fleet.reqs.values() if again]
+    first = {content for content, again in fleet.reqs.values() if not again}
+    assert len(repeats) > 50 and all(content in first for content in repeats)
 
 
 def test_reqs_without_a_turn_never_count_below_none():
--- a/tests/test_crossing_news.py
+++ b/tests/test_crossing_news.py
@@ -45,7 +45,7 @@
         assert client.status == 200 and name not in door.node.rows.rows
         assert not door.core.counts["faults"]
         assert name not in door.core.router.row and name not in door.core.router.column  # the news has been heard
-        door.until(lambda: client.look().endswith(b"0\r\n\r\n"))
+        assert not client.whole().cut
         door.settled()
         assert name not in door.core.kinds  # and nothing of it is kept
 
@@ -71,5 +71,5 @@
         again = door.ask("r2")
         door.until(lambda: again.status)
         assert again.status == 200
-        door.until(lambda: again.look().endswith(b"0\r\n\r\n"))
+        assert not again.whole().cut
         door.settled()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
-from platform_door import Door
+from platform_door import Door, Quiet
 
 from lapiswing.loop import Loop, ManualClock
 from lapiswing.node.discovery import (AGAIN_US, ASKED_WAIT_MS, LATE_US, MOST_LATE_US, MOST_REFUSED_US, WAIT_MS,
@@ -48,9 +48,13 @@
                "weight": 1.0, "since_ms": 0}
         return json.dumps({"index": index or pool.index, "snapshot": b"after" not in self.target, "endpoints": [row]}).encode()
 
-    def good(self):
+    def waits(self, index):
+        """Whether it is a watch for something newer than discovery has."""
         after = self.target.partition(b"after=")[2].partition(b"&")[0]
-        if after and int(after) >= self.pool.index:  # a watch waits for something newer
+        return bool(after) and int(after) >= index
+
+    def good(self):
+        if self.waits(self.pool.index):
             return self.later(20 * MS, self.good)
         self.whole(self.answer())
 
@@ -219,16 +223,6 @@
             assert set(door.node.rows.rows) == {"s-1", "s-2"} and door.node.rows.index == 70
 
 
-class NoLog:
-    def info(self, *_, **__):
-        pass
-
-    warning = info
-
-
-QUIET = NoLog()
-
-
 class Overloaded:
     """In place of a discovery that many gateways ask: it works on one call after the other, some time on each, and turns
     away what it could not answer within its time-out."""
@@ -242,8 +236,7 @@
 
     def request(self, address, method, target, fields, body, handler):
         call = Call(self, target, handler)
-        after = target.partition(b"after=")[2].partition(b"&")[0]
-        if after and int(after) >= self.index:
+        if call.waits(self.index):
             self.waiting.append(call)
         else:
             self.work_on(call)
@@ -271,7 +264,7 @@
     discovery, gateways = Overloaded(loop), []
     for seed in range(60):
         rows = Rows(["read", "write", "both"], ["a"], lambda ms: 0)
-        gateways.append(Discovery(loop, discovery, ("127.0.0.1", 1), rows, lambda: None, QUIET, asked=True, seed=seed))
+        gateways.append(Discovery(loop, discovery, ("127.0.0.1", 1), rows, lambda: None, Quiet(), asked=True, seed=seed))
 
     def all_are(mode):
         return all(g.rows.rows and g.rows.rows["s-1"].mode == mode for g in gateways)
@@ -288,7 +281,7 @@
 
 def test_gateways_that_start_together_end_their_waits_apart():
     """All in one moment, some were turned away and heard of a change 0.4 s too late."""
-    waits = sorted(Discovery(Loop(ManualClock()), None, None, Rows([], [], None), None, QUIET, True, seed).wait_ms
+    waits = sorted(Discovery(Loop(ManualClock()), None, None, Rows([], [], None), None, Quiet(), True, seed).wait_ms
                    for seed in range(40))
     assert waits[0] >= ASKED_WAIT_MS * 3 // 4 and waits[-1] <= ASKED_WAIT_MS
     assert max(sum(at <= w < at + 500 for w in waits) for at in waits) <= 10  # of 40, in any half second
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -63,7 +63,7 @@
 def test_what_was_taken_is_served_whatever_signals_come(door, stage, signals):
     client = at_stage(door, stage)
     signals(door)
-    door.until(lambda: client.look().endswith(b"0\r\n\r\n"))
+    assert not client.whole().cut
     assert client.got.count(b"HTTP/1.1 ") == 1 and client.status == 200 and b"[DONE]" in client.got
     door.until(lambda: door.stopped)
     door.settled()
@@ -78,7 +78,7 @@
     leaver.status = "DRAINING"
     door.platform.discovery.tell(leaver.row())
     door.until(lambda: door.node.rows.rows[leaver.name].mode == "draining", 1_500 * MS)
-    door.until(lambda: client.look().endswith(b"0\r\n\r\n"))
+    assert not client.whole().cut
     assert client.status == 200 and not leaver.seen and other.seen
     door.until(lambda: door.stopped)
 
@@ -116,7 +116,7 @@
     door.until(lambda: first)
     door.node.stop()
     door.until(lambda: client.status)
-    door.until(lambda: client.look().endswith(b"0\r\n\r\n"))
+    assert not client.whole().cut
     assert client.status == 200 and client.got.count(b"HTTP/1.1 ") == 1
     door.until(lambda: door.stopped)
     door.settled()
--- a/tests/test_time_told.py
+++ b/tests/test_time_told.py
@@ -23,7 +23,7 @@
             server.fault = record
         asked_us = door.loop.clock.now_us()
         client = door.ask("r1", Req_Deadline="2.000")
-        door.until(lambda: client.look().endswith(b"0\r\n\r\n"))
+        assert not client.whole().cut
         assert len(told) == 2  # the prefill and the decode, each on a new connection
         for seconds, at_us in told:
             left_us = asked_us + 2_000 * MS - at_us
