--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -31,6 +31,7 @@
 UP_PART, LEAST_UP_US = 0.75, 10 * MS
 COLD_HOMES = 2  # a prefix goes to every so many-th cold reader; no one's turns grow by more, whatever is hot,
 COLD_HOT = 0.1  # and a hot one to so many that it adds this part at the most to any one's
+COLD_LONG = 1.5  # part of what the rule allows for chance that a prompt may take where no server is warm
 RUSH_US = 1000 * MS  # half life of the count of own reqs that a rush shows in
 REPEAT = 2 | 16  # bits of a req that its client has sent before
 LATE_READS = 0.5  # own recent reads for each prefill server that tell a late attempt from a common jam
@@ -423,12 +424,18 @@
     def mean_tokens(self):  # of a prompt, lately
         return sum(m[1] for m in self.mix) / max(1, sum(m[0] for m in self.mix))
 
-    def bears(self, m, long, mean):
-        """Whether a prompt, `long` times the mean of `mean` tokens, leaves a cold prefill server half of what
+    def mean_besides(self, tokens):
+        """Mean prompt of the requests seen besides one of `tokens`, 0 where there was none: the first requests
+        of a process would else count as usual, however long."""
+        seen = sum(m[0] for m in self.mix) - 1
+        return max(0, sum(m[1] for m in self.mix) - tokens) / seen if seen > 0.01 else 0
+
+    def bears(self, m, long, mean, part):
+        """Whether a prompt, `long` times the mean of `mean` tokens, leaves a cold prefill server enough of what
         the rule allows for chance. Guards against a prompt that alone brings it down; could harm long prompts
         where few servers are warm."""
         n = self.fall_us * self.cold_level(m) / max(1.0, mean * self.cost_of(m))
-        return long <= sqrt(n) + 1
+        return long <= part * (sqrt(n) + 1)
 
     def readers_rate(self):
         """Requests a second that this gateway's part of all prefill servers can do: the more of what warm
@@ -526,9 +533,9 @@
     def cold_reader(self, req, at, cold, all_cold, key):
         """The cold reader whose turn it is, or None. What counts there is work: a long prompt's turns are as
         much rarer as it is longer than the mean."""
-        mean = self.mean_tokens()
+        mean = self.mean_besides(req.tokens) or all_cold and req.tokens
         long = req.tokens / max(1, mean)
-        bearing = [r for r in cold if all_cold or self.bears(r, long, mean)]
+        bearing = [r for r in cold if self.bears(r, long, mean, COLD_LONG if all_cold else 1.0)]
         parts = [min(self.share[r.id], 1 / len(self.readers)) for r in bearing]
         return self.turn_of(at * max(1.0, long), bearing, parts, all_cold, key)
 
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -10,6 +10,8 @@
 # that come again; fresh routers; all of a role cold; mixed servers. 17, 55, 504, 539, 580 and 698 for one prompt that is
 # most of the bound, and for all of a role cold under more than can be served. benchmarks/cold.py plays 200.
 SEEDS = (9, 17, 18, 20, 23, 24, 36, 49, 55, 80, 81, 504, 539, 580, 698)
+# One prompt of 5 to 22 times the mean, at a process that had seen no other request or where no server was warm.
+LONG_SEEDS = (442, 556, 562, 636)
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -20,6 +22,14 @@
     assert fleet.part_of_cold() > 0.1 and fleet.done > 0.4 * fleet.taken  # and they are used
 
 
+@pytest.mark.parametrize("seed", LONG_SEEDS)
+def test_one_prompt_does_not_take_all_that_a_cold_server_bears(seed):
+    fleet = Fleet(seed, case_of(seed)).play()
+    part, server, work, n = fleet.worst()
+    assert part <= 1.0, f"{server} was sent {work:.1f} in a window, N being {n:.1f}; {fleet.case}"
+    assert fleet.part_of_cold() > 0.05 and fleet.done > 0.4 * fleet.taken
+
+
 CALM = {"gateways": 20, "rate": 10, "load": 0.7, "skew": 1, "burst": 1.0, "fresh": 0.0, "late": 0.0, "cold": {"r": 0.5},
         "hot": 0.0, "failing": 0.0, "retries": False, "marks": True, "kinds": {"r": 8, "w": 4}}
 
@@ -101,6 +111,33 @@
     assert not sent[True, True], sent
 
 
+def test_the_first_requests_of_a_process_go_to_warm_servers():
+    """Nothing tells yet whether its prompt is long: 19 times the mean went to a cold server so."""
+    cold = {f"r{i}" for i in range(2, 9)}
+    for seed in range(30):
+        play = Play(servers=("r0", "w2"), balancers=1, seed=seed)
+        play.at(30_000, ("servers", "update", [play.server(n, started_us=30_000 * MS) for n in cold]))
+        play.at(30_100, play.req(0, tokens=19_000))
+        assert play.sent()[-1][2] == "r0"
+
+
+def test_where_all_are_cold_a_prompt_that_alone_overloads_one_is_refused_at_once():
+    play, sent = Play(servers=("w2",), balancers=1), set()
+    play.at(30_000, ("servers", "update", [play.server(n, started_us=30_000 * MS) for n in ("r8", "r9")]))
+    for i in range(600):
+        long = i % 30 == 29
+        play.at(30_100 + 20 * i, play.req(i, prefix=f"c:{i}", tokens=40_000 if long else 300))
+        got = play.sent()[-1] if play.sent() else ["", ""]
+        if got[1] != str(i):
+            assert play.sent("push_back")[-1][1] == str(i)
+            continue
+        sent.add(long)
+        play.at(play.now + 5, play.outcome(i, 0, got[2], "read", 5))
+        play.at(play.now + 2, ("first", i, "w2", 2 * MS, 1))
+        play.at(play.now + 2, play.outcome(i, 1, "w2", "done", 4, True))
+    assert sent == {False}
+
+
 @pytest.mark.parametrize("burst, most", [(1.0, 1.0), (3.0, 1.7)])
 def test_where_all_are_cold_an_overload_is_not_learnt_as_the_usual_load(burst, most):
     """What all cold servers together are sent in the second half of 3 s at `burst` times the load, beside the same with
