--- /dev/null
+++ b/benchmarks/scale/__main__.py
@@ -0,0 +1,66 @@
+"""The commands of the scale rig: `python -m benchmarks.scale --help`."""
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from benchmarks.scale import rig as rigs
+from benchmarks.scale import router_cost, scenario
+from lapiswing.errors import OperatorError
+
+
+@click.group()
+def main():
+    """What the fleet costs at the operators' size."""
+
+
+def sizes(_context, _parameter, value):
+    return [int(part) for part in value.split(",")]
+
+
+@main.command()
+@click.option("--sizes", default="160,320,640,1024,1280", callback=sizes, help="Servers in the list.")
+@click.option("--seconds", default=20.0, help="Simulated, for each play.")
+@click.option("--plays", default=3, help="Seeds, for the spread.")
+@click.option("--out", type=click.Path(path_type=Path), help="Where the record goes, as JSON.")
+def router(sizes, seconds, plays, out):
+    """The cost of the decisions alone, by size of the list."""
+    table = router_cost.slope(sizes, seconds, plays)
+    fields = router_cost.RouterCost._fields
+    click.echo("  ".join(f"{name:>17}" for name in fields))
+    for costs in table:
+        spread = [(min(v), sorted(v)[len(v) // 2], max(v)) for v in zip(*costs)]
+        click.echo("  ".join(f"{middle:>17.4g}" for _, middle, _ in spread))
+        click.echo("  ".join(f"{f'{least:.3g}-{most:.3g}':>17}" for least, _, most in spread))
+    save(out, [[cost._asdict() for cost in costs] for costs in table])
+
+
+@main.command()
+@click.argument("path", type=click.Path(path_type=Path))
+@click.option("--out", type=click.Path(path_type=Path), help="Where the record goes, as JSON.")
+def rig(path, out):
+    """A fleet on loopback sockets under the scenario in PATH."""
+    try:
+        plan = scenario.load(path)
+    except OperatorError as problem:
+        click.echo(problem, err=True)
+        sys.exit(problem.exit_code)
+    running = rigs.Rig(plan, lambda text: click.echo(f"... {text}", err=True))
+    try:
+        running.start()
+        record = running.run()
+    finally:
+        running.close()
+    for name, value in record.items():
+        click.echo(f"{name:<16} {json.dumps(value)[:400]}")
+    save(out, record)
+
+
+def save(out, record):
+    if out is not None:
+        out.write_text(json.dumps(record, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
