The pair table in a module of its own: rows of like servers beyond 10,000 pairs

Seen: at 640 servers, 3.7 requests a second, timers took 8.8% of a core (8.2 to 9.9), the longest 56 ms, one server's change 6.3 ms, at 1,280 servers 55%, 328 ms and 27 ms (benchmarks.scale router, three plays; the square of the servers). Lines at fault: `move_shares` sorted all pairs four times, `on_servers` copied a table of all servers by all servers, `measure` went through 5,900 tenants. Ruled out by a profile of refresh: histograms and costs by server are 0.7 ms together.

Changed: lapiswing/routing/pair_table.py holds attainment, shares and the solver's step. Single servers as before up to 10,000 pairs (a hundred servers); beyond that those of one kind in neighbouring racks of a zone share a row or column (4,000 pairs at most), and a second step moves weight inside each group, first and by the same step, floor and least gain. Tenants' shares are brought up to date when one asks.

Router's state, hashes and chance, and what outlives a process, moved to lapiswing/routing/ (state, chance, carry, groups): no decision in them. Machine and Req are ServerState and RequestState. Tests that looked into router.row, column, joint and hash ask the table for the same, with the same expectations.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY = .venv/bin/python
 STAMP = .venv/.set-up
 
-.PHONY: setup run test badday proto
+.PHONY: setup run test badday proto scale scale-small
 setup: $(STAMP)
 
 $(STAMP): requirements.txt requirements-dev.txt
@@ -20,6 +20,19 @@
 badday: setup
 	$(PY) -m lapiswing badday --script all
 
+# What the fleet costs at the operators' size (docs/CAPACITY.md): within 15 minutes, and a look within 60 s.
+SCALE = OPENBLAS_NUM_THREADS=1 $(PY) -m benchmarks.scale
+RECORDS = benchmarks/scale/records
+scale: setup
+	$(SCALE) router --out $(RECORDS)/router.json
+	$(SCALE) rig benchmarks/scale/scenarios/target.toml --out $(RECORDS)/rig-target.json
+	$(SCALE) fleet --out $(RECORDS)/fleet.json
+	$(SCALE) charts
+
+scale-small: setup
+	$(SCALE) router --sizes 160,640 --seconds 4 --plays 1
+	$(SCALE) rig benchmarks/scale/scenarios/small.toml
+
 proto: setup
 	$(PY) -m pip install -q 'grpcio-tools>=1.85,<2'
 	$(PY) -m grpc_tools.protoc -Ilapiswing/settings --python_out=lapiswing/settings lapiswing/settings/settings.proto
--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -1,12 +1,18 @@
 """The commands of the scale rig: `python -m benchmarks.scale --help`."""
 import json
+import os
 import sys
+from dataclasses import asdict
+from multiprocessing import Pool
 from pathlib import Path
 
 import click
 
+from benchmarks.scale import charts as pictures
+from benchmarks.scale import fleet as fleets
 from benchmarks.scale import rig as rigs
 from benchmarks.scale import router_cost, scenario
+from benchmarks.scale.target import TARGET
 from lapiswing.errors import OperatorError
 
 
@@ -57,8 +63,40 @@
     save(out, record)
 
 
+def play_fleet(arguments):
+    """In a process of its own. -> the arguments and what came of them."""
+    return arguments, asdict(fleets.ScaleFleet(*arguments).play().served())
+
+
+@main.command()
+@click.option("--gateways", default=TARGET.gateways)
+@click.option("--servers", default=TARGET.servers)
+@click.option("--faults", default=",".join(fleets.FleetFault), help="Names, with commas.")
+@click.option("--seconds", default=16, help="Simulated; a fault begins after 5 s.")
+@click.option("--seeds", default=1, help="Plays of each.")
+@click.option("--processes", default=4, help="Plays at once; each takes some GB at the target's size.")
+@click.option("--out", type=click.Path(path_type=Path), help="Where the record goes, as JSON.")
+def fleet(gateways, servers, faults, seconds, seeds, processes, out):
+    """All Routers of a fleet in simulated time, under each fault."""
+    os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")
+    plays = [(seed, gateways, servers, fault, seconds) for fault in faults.split(",") for seed in range(1, seeds + 1)]
+    rows = []
+    with Pool(min(processes, len(plays))) as pool:
+        for (seed, _, _, fault, _), served in pool.imap(play_fleet, plays, chunksize=1):
+            rows.append({"fault": str(fault), "seed": seed, **served})
+            click.echo(f"{fault:<8} seed {seed}  " + "  ".join(f"{name} {value:.3g}" for name, value in served.items()))
+    save(out, rows)
+
+
+@main.command()
+def charts():
+    """Draws docs/capacity from the records."""
+    click.echo(pictures.draw())
+
+
 def save(out, record):
     if out is not None:
+        out.parent.mkdir(exist_ok=True)
         out.write_text(json.dumps(record, indent=1) + "\n")
 
 
--- a/benchmarks/scale/rig.py
+++ b/benchmarks/scale/rig.py
@@ -13,7 +13,7 @@
 import numpy as np
 
 from benchmarks.scale.clients import DEADLINE_S, Clients
-from benchmarks.scale.scenario import HOLLOW_GATEWAYS_A_PROCESS, SERVERS_A_PROCESS
+from benchmarks.scale.scenario import HOLLOW_GATEWAYS_A_PROCESS, SERVERS_A_PROCESS, FaultKind
 from benchmarks.scale.settings import server_rows
 from lapiswing.http1 import Pool
 from lapiswing.loop import Clock, Loop, free_ports
@@ -176,7 +176,7 @@
         began = self.loop.clock.now_us()
         clients.start()
         for fault in self.scenario.fault:
-            self.loop.call_later(int(fault.at_s * S), getattr(self, fault.kind.value), fault)
+            self.loop.call_later(int(fault.at_s * S), getattr(self, FaultKind(fault.kind).value), fault)
         self.loop.run_until(lambda: False, int(load.seconds * S))
         clients.stop()
         past_s = (self.loop.clock.now_us() - began) / S
--- a/lapiswing/admin/facts.py
+++ b/lapiswing/admin/facts.py
@@ -43,15 +43,13 @@
 
     def shares(self):
         """What part of reads and of writes each box gets by the pair table."""
-        router = self.core.router
-        out = {}
-        try:
-            for side, of in ((router.row, 1), (router.column, 0)):
-                sums = router.pairs.sum(axis=of)
-                for name, i in side.items():
-                    out.setdefault(name, {})["reads" if of else "writes"] = round(float(sums[i]), 4)
-        except (AttributeError, IndexError):
-            pass  # a baseline that has no table
+        out, table = {}, getattr(self.core.router, "table", None)
+        if table is None:
+            return out  # a baseline that has none
+        writers = zip(table.columns.at, table.writer_shares().tolist())
+        for part, shares in (("reads", table.share.items()), ("writes", writers)):
+            for name, share in shares:
+                out.setdefault(name, {})[part] = round(share, 4)
         return out
 
     def tenants(self):
--- a/lapiswing/node/reach.py
+++ b/lapiswing/node/reach.py
@@ -4,7 +4,7 @@
 Guards against a holder that is cut off, alone or with its zone, against this gateway's own zone being cut
 off, and against answers that get lost. Could harm by its messages where no server answers at all: `AT_ONCE`
 bounds them."""
-from lapiswing.policy import mixed
+from lapiswing.routing.chance import mixed
 
 AT_ONCE = 4  # servers told anew at the most each time
 PARTS = 8  # of the time there is to let go: after each without an answer more servers are told
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -4,23 +4,20 @@
 from bisect import bisect_left
 from itertools import accumulate
 from math import ceil, log, sqrt
-from zlib import crc32
 
 import numpy as np
 
+from lapiswing.routing import carry
+from lapiswing.routing.chance import Chance, rank
+from lapiswing.routing.pair_table import MIDDLES, STEPS, PairTable
+from lapiswing.routing.state import Demand, Load, RequestState, RouterState, ServerState
+
 MS = 1000
 REFRESH_US = 250 * MS  # how often, while something is out or new, scores are made anew and shares move
-NEWS = 4  # outcomes that make a refresh worth its cost before a second has passed
-MOVES = 4  # moves of share from worst to best pairs at each refresh
-STEP = 0.7  # share that a pair gives up in one move at the most, against an equal share
-FLOOR = 0.14  # least share of a pair, so that it is met again, against an equal share
+NEWS, SERVERS_A_NEWS = 4, 25  # outcomes, and servers for each, that are worth a refresh within a second
 FIRST_PAIRS = 200_000  # looked at before the first req
-ROUND = 32  # pairs for each one that takes part in a move
 NEAR = 0.3  # shares above this part of the best are near it
 MEMORY_US = (2000 * MS, 10000 * MS)  # measurements are halved no sooner and no later than this
-EDGES = np.array([15, 25, 40, 60, 90, 130, 190, 270, 390, 560, 800, 1150, 1650, 2400, 3500, 5000]) * MS
-MIDDLES = np.concatenate(([10 * MS], (EDGES[1:] + EDGES[:-1]) // 2, [8000 * MS]))
-STEPS = EDGES.tolist()
 PRIOR = 2.0  # outcomes' worth of its kind's average in each server's histogram
 HELD_US, TOLD = 5000 * MS, 0.4  # half life of what a writer told of its memory; what a full one takes off
 FULL = 0.8  # told share of memory from which a writer's wait is a queue and no lost answer
@@ -38,46 +35,16 @@
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
 
-def mixed(data):  # squared: crc32 alone is linear, so that ranks and draws of all routers would go together
-    return crc32(data) ** 2 % 4294967291 / 4294967291
-
-
-class Machine:
-    def __init__(self, row, kinds, at):
-        self.id, self.at = row.id, at  # at: its row in the router's tables of measurements
-        self.bad, self.suspect, self.trial_us, self.cold = 0.0, False, 0, False
-        self.out_tokens = self.stream_tokens = self.read_us = self.read_tokens = 0  # own; heard
-        self.trust, self.kept = 1.0, {}  # part of the text believed kept here that reads did find
-        self.waiting, self.heard_us, self.told_us, self.told_at = {}, 0, 0, 0
-        self.held, self.held_at = 0.0, -1 << 40  # share of its memory that it last told as held
-        self.answered_us = 0  # when the latest-sent of the answered forwards was sent
-        self.listed(row, kinds)
-
-    def listed(self, row, kinds):
-        self.zone, self.cell, self.mode, self.started_us = row.zone, row.cell, row.mode, row.started_us
-        self.kind = min(row.kind, len(kinds) - 1)
-        role, self.memory = kinds[self.kind]
-        self.reads, self.writes = role != "write", role != "read"
-
-
-class Req:
-    def __init__(self, rid, group, tenant, tokens, now, expires, target):
-        self.id, self.group, self.tenant, self.tokens = rid, group, tenant, tokens
-        self.arrived, self.target, self.expires, self.up_by = now, target, expires, expires  # up_by: UP_PART
-        self.forwards, self.out, self.tried = [], 0, set()  # out: how many have no outcome yet
-        self.holder = self.begun = self.turn = None  # turn: a cold writer that will take it
-        self.ran, self.fresh, self.closed, self.over = [], tokens, False, False  # ran: forwards that may have
-
-
-class Router:
+class Router(RouterState):
     def __init__(self, seed, settings, now_us):
         limits, rules, prices, family = (settings[k] for k in ("limits", "rules", "penalties", "family_info"))
-        self.seed, self.draws, self.groups = seed, 0, settings["groups"]
+        super().__init__(now_us, len(settings["groups"]), len(family["duty_by_kind"]), len(MIDDLES))
+        self.chance, self.groups = Chance(seed), settings["groups"]
         self.gateways, self.zone = max(1, settings.get("balancers", 1)), settings.get("az", 0)
         self.most_forwards, self.may_cancel = limits["max_attempts"], limits.get("cancel", False)
         memory = [max(1, m) / self.gateways for m in family["kind_memory_tokens"]]
         self.kinds = list(zip(family["duty_by_kind"], memory))  # role, and this router's part of memory
-        self.far_price, self.cross_price = family.get("far_price", 0.0), prices.get("cross_zone", 0.0)
+        self.table = PairTable(self.zone, family.get("far_price", 0.0), prices.get("cross_zone", 0.0))
         self.come_back_us = limits.get("max_retry_after_us", 0) if limits.get("retry_after") else 0
         # A prompt token's read cost until one is heard: what the response target allows it.
         self.start_cost = max([g.target_per_1000_us / 1000 for g in self.groups] + [0.0]) or 50.0
@@ -87,58 +54,16 @@
         self.up_us = int((family.get("let_go_by_us") or 500 * MS) * UP_PART)
         self.asks = settings.get("membership_mode") == "subscribe"
         self.quota = [t.get("quota_rps", 0) / self.gateways for t in settings.get("tenants") or []]
-        self.quota_left, self.machines, self.reqs, self.expect = [2 * q for q in self.quota], {}, {}, {}
-        self.readers, self.writers, self.row, self.column = [], [], {}, {}
-        self.r_at = self.w_at = np.zeros(0, int)
-        self.pairs = self.joint = np.zeros((0, 0))  # joint shares of readers and writers; of all servers
-        self.reads, self.waits = np.zeros((2, 0, len(MIDDLES)))  # bins of reads; of waits for a writer
-        # Served since the last refresh and a second on average; stream time, what it should be; open streams.
-        self.taken, self.took, self.stream_us, self.owed_us, self.begun = np.zeros((5, 0))
-        # A move's cost a token: same cell, same zone, other; sums for its slope inside a cell.
-        self.transfer, self.near = [0.0] * 3, [0.0] * 5
-        self.links = {}  # by reader's cell: time of moves that left it, what they take on a free link
-        self.mix = [[0.0, 0.0] for _ in self.groups]  # reqs and prompt tokens seen lately
-        self.kind_took = [[0.0, 1.0] for _ in self.kinds]  # served by warm servers of a kind, their seconds
-        self.kind_cost = [[0.0, 0.0] for _ in self.kinds]  # read time and tokens lately
-        self.heat, self.spare, self.lost = {}, 10.0, {}  # reqs by prefix; forwards to spare; see reachable
-        self.read_tokens, self.read_span, self.reads_out, self.subscribed = 0.0, MS, 0, True
-        self.rush, self.rush_us = 0.0, now_us  # reqs of the last moments that may have a turn
-        self.asked = self.read_well = 0.0  # lately: reqs, less those without a turn; reads that ended well
-        self.news, self.timer, self.moved_us, self.halved_us = 0, False, 0, now_us
-        self.seen, self.ask_us, self.failing = 0, 0, 0.0  # outcomes since halving; part that fail
-        self.answer_us = [0.0] * len(self.groups)  # answer length, as time
-        self.read_mean, self.wait_mean, self.modes, self.now, self.pause_us = 0.0, 0.0, {}, now_us, 1000 * MS
-        self.names, self.carried = settings.get("kinds") or [], {}  # of kinds; boxes of an earlier life
-
-    def learnt(self):
-        """What a later life may start from, plain lists by names and ids: answers' lengths, of each kind its
-        read cost and what all routers together were served by one, of each box its trouble and read cost."""
-        kinds = [[name, role, *cost, float(took[0] / took[1]) * self.gateways] for name, (role, _), cost, took
-                 in zip(self.names, self.kinds, self.kind_cost, self.kind_took)]
-        boxes = [[m.id, m.started_us, m.bad, m.read_us, m.read_tokens] for m in self.machines.values()
-                 if m.mode == "ready" and (m.bad > 0.01 or m.read_tokens)]
-        groups = [[g.name, us] for g, us in zip(self.groups, self.answer_us)]
-        return {"groups": groups, "kinds": kinds, "boxes": boxes}
+        self.spare, self.pause_us = 10.0, 1000 * MS  # forwards to spare; between two trials of a suspect
+        self.names = settings.get("kinds") or []
+
+    learnt = carry.save  # what a later process may start from
 
     def take_up(self, learnt, age_us):
-        """Starts from an earlier life's figures, told before the first list; -> a line on what was taken up.
-        Kinds and groups count by name, so they outlive a move; a box only as the same start of it. Shares,
-        links, waits, texts and tenants' shares belong to the old shape and start afresh. Raises ValueError,
-        TypeError or LookupError on what can't be read, and then nothing is taken up."""
+        """Starts from an earlier process's figures, before the first list; -> a line on what was taken up."""
         if not 0 <= age_us <= LEARNT_US:
             return f"nothing taken up: {age_us // (1000 * MS)} s old"
-        if not all(type(x) is str or 0 <= x < 1 << 62 for v in learnt.values() for row in v for x in row):
-            raise ValueError("a figure is out of range")
-        groups = {name: float(us) for name, us in learnt["groups"]}
-        kinds = {(name, role): [*map(float, (us, of, rps))] for name, role, us, of, rps in learnt["kinds"]}
-        boxes = {box: (int(started), min(1.0, bad), float(us), float(tokens))
-                 for box, started, bad, us, tokens in learnt["boxes"]}
-        self.answer_us, self.carried = [groups.get(g.name, 0.0) for g in self.groups], boxes
-        known = [kinds.get((name, role)) for name, (role, _) in zip(self.names, self.kinds)]
-        for i, (us, tokens, rps) in [(i, row) for i, row in enumerate(known) if row]:
-            self.kind_cost[i], self.kind_took[i] = [us, tokens], [rps / self.gateways, 1.0]
-        return "taken up: %d of %d kinds, %d of %d groups, %d boxes" % (len(known) - known.count(None), len(
-            self.kinds), sum(us > 0 for us in self.answer_us), len(self.groups), len(boxes))
+        return carry.restore(self, learnt)
 
     def round(self, now_us, events, out):
         self.now, self.out = now_us, out
@@ -148,18 +73,13 @@
             self.timer = True
             out.timer(REFRESH_US, 0)
 
-    def mode(self, name, on, text):
-        if self.modes.get(name, False) != on:
-            self.modes[name] = on
-            self.out.log(f"{name} {'on' if on else 'off'}: {text}")
-
     def on_servers(self, kind, rows):
         self.subscribed, self.lost = kind in ("update", "replace"), {}
         if kind == "unavailable":
             return
         for row in rows:
             if row.id not in self.machines:
-                self.machines[row.id] = Machine(row, self.kinds, len(self.machines))
+                self.machines[row.id] = ServerState(row, self.kinds, len(self.machines))
             machine, carried = self.machines[row.id], self.carried.pop(row.id, None)
             if carried and abs(carried[0] - row.started_us) < MS:  # the same start of it
                 _, machine.bad, machine.read_us, machine.read_tokens = carried
@@ -171,47 +91,16 @@
         named = {row.id for row in rows}
         for machine in [m for m in self.machines.values() if kind != "update" and m.id not in named]:
             machine.mode = "gone"
-        more = len(self.machines) - len(self.took)
-        self.joint[:] = 0.0
-        self.joint[np.ix_(self.r_at, self.w_at)] = self.pairs
-        self.joint = np.pad(self.joint, (0, more))
-        self.reads, self.waits = (np.pad(t, ((0, more), (0, 0))) for t in (self.reads, self.waits))
-        self.taken, self.took, self.stream_us, self.owed_us, self.begun = (
-            np.pad(t, (0, more)) for t in (self.taken, self.took, self.stream_us, self.owed_us, self.begun))
-        self.forget_gone()
+        self.keep_measurements()
         self.level_pairs()
 
-    def forget_gone(self):  # what has left and has no open req; else every new id would stay for good
-        busy = {forward[0].id for req in self.reqs.values() for forward in req.forwards}
-        self.machines = {m.id: m for m in self.machines.values() if m.mode != "gone" or m.id in busy}
-        at = [m.at for m in self.machines.values()]
-        self.joint, self.reads, self.waits = self.joint[np.ix_(at, at)], self.reads[at], self.waits[at]
-        self.taken, self.took, self.stream_us, self.owed_us, self.begun = (
-            t[at] for t in (self.taken, self.took, self.stream_us, self.owed_us, self.begun))
-        for at, machine in enumerate(self.machines.values()):
-            machine.at = at
-
-    def level_pairs(self):  # new pairs at the mean share; a mixed server writes itself what it reads
+    def level_pairs(self):
         ready = [m for m in self.machines.values() if m.mode == "ready"]
         self.cold_until = max([m.started_us + self.cold_us for m in ready if m.started_us], default=0)
-        sides = self.readers, self.writers = [m for m in ready if m.reads], [m for m in ready if m.writes]
-        self.row, self.column = ({m.id: i for i, m in enumerate(side)} for side in sides)
-        (self.r_at, r_zone, r_cell, mixed), (self.w_at, w_zone, w_cell, _) = (
-            np.array([(m.at, m.zone, m.cell, m.writes) for m in ms], int).reshape(-1, 4).T for ms in sides)
-        own = self.r_at[:, None] == self.w_at
-        self.mixed, self.open = mixed[:, None] > 0, own | (mixed[:, None] == 0)
-        self.nearness = np.where(r_cell[:, None] == w_cell, 0, 1 + (r_zone[:, None] != w_zone))
-        self.cells = np.unique(r_cell, return_inverse=True)[1]
-        self.ways = [(i, r, way) for i, r in enumerate(self.readers) if not r.writes
-                     for way in set(self.nearness[i].tolist())]  # nearnesses that a reader's moves may have
-        self.price = self.far_price * (self.nearness > 0) + self.cross_price * (
-            (r_zone != self.zone)[:, None] + ((w_zone != self.zone) & ~own))
-        pairs = self.joint[np.ix_(self.r_at, self.w_at)]
-        pairs[pairs == 0] = pairs[pairs > 0].mean() if pairs.any() else 1.0
-        self.pairs = pairs * self.open / ((pairs * self.open).sum() or 1.0)
-        self.share = dict(zip(self.row, np.maximum(self.pairs.sum(axis=1), 1e-9).tolist()))
+        self.use(ready)
+        self.table.arrange(self.readers, self.writers)
         # By what is known without outcomes; less often for many pairs, as nobody is served meanwhile.
-        for _ in range(0 if self.moved_us else min(12, max(2, FIRST_PAIRS // max(1, self.pairs.size)))):
+        for _ in range(0 if self.moved_us else min(12, max(2, FIRST_PAIRS // max(1, self.table.pairs.size)))):
             self.refresh()
         self.moved_us = self.moved_us or self.now
 
@@ -220,20 +109,20 @@
         if self.asks and not self.subscribed and self.now >= self.ask_us:
             self.ask_us = self.now + 1000 * MS
             self.out.watch(True)  # not asked yet, the call failed or the subscription broke
-        if self.news >= NEWS or self.now - self.moved_us >= 4 * REFRESH_US:
-            self.measure(max(1, self.now - self.moved_us))
+        past, worth = self.now - self.moved_us, max(NEWS, len(self.machines) / SERVERS_A_NEWS)
+        if self.news >= worth or past >= 4 * REFRESH_US:
+            self.measure(max(1, past))
             self.refresh()
         self.look_for_silence()
 
     def measure(self, past):
-        self.quota_left = [min(2 * q + 4, x + q * past / 1e6) for q, x in zip(self.quota, self.quota_left)]
         self.read_span += past
         self.pause_us = max(1000 * MS, 5 * self.read_span / max(1.0, sum(m[0] for m in self.mix)))
         self.stream_us += self.begun * past
         self.took += (self.taken * 1e6 / past - self.took) * (1 - 0.9 ** (past / REFRESH_US))
         keep = 0.975 ** (past / REFRESH_US)
         for kind, sums in enumerate(self.kind_took):  # remembered while all of a kind are cold
-            warm = [m.at for m in {*self.readers, *self.writers} if m.kind == kind and not m.cold]
+            warm = [m.at for m in self.of_kind[kind] if not m.cold]
             if warm:
                 sums[:] = sums[0] * keep + self.taken[warm].sum(), sums[1] * keep + len(warm) * past / 1e6
         self.taken[:], self.news, self.moved_us = 0, 0, self.now
@@ -250,7 +139,7 @@
                 m.read_us, m.read_tokens = m.read_us / 2, m.read_tokens / 2
 
     def refresh(self):
-        if not self.pairs.size:
+        if not self.table.pairs.size:
             return
         n, t, l, tl, tt = self.near
         if n > 4 and n * tt > t * t:
@@ -272,25 +161,11 @@
         self.read_mean, self.wait_mean = (np.sort(e)[(len(e) - 1) // 2] for e in (reads_end, waits_end))
         total = sum(m[0] for m in self.mix)
         tokens = sum(m[1] for m in self.mix) / (total or 1.0)
-        # How many wait bins each read bin leaves the writer, a table for all readers whose moves cost alike.
-        begins = np.concatenate((np.zeros((len(self.writers), 1)), np.cumsum(wait, axis=1)), axis=1)
-        value = np.full(self.open.shape, 0.0 if total else 1.0)
-        alone, alike = value[:, 0].copy(), {}
-        for i, reader, way in self.ways:
-            alike.setdefault((way, float("%.1g" % self.hop(reader, way))), []).append(i)
-        for m, g in zip(self.mix, self.groups):
-            if m[0] > 0:
-                left = g.target_us + g.target_per_1000_us * m[1] / m[0] / 1000 - MIDDLES
-                alone += m[0] / total * (read @ (left > 0))
-                for (way, hop), rows in alike.items():
-                    over = left - tokens * hop
-                    bins = np.where(over > 0, np.searchsorted(EDGES, over) + 1, 0)
-                    met = read[rows] @ begins[:, bins].T
-                    value[rows] += m[0] / total * met * (self.nearness[rows] == way)
-        value = np.where(self.mixed, alone[:, None], value)
-        value = value * np.minimum(1.0, 1.5 / pace)
-        value *= np.outer([1 - r.bad for r in self.readers], [1 - w.bad for w in self.writers])
-        self.move_shares(value - self.price)
+        demands = [Demand(m[0] / total, g.target_us + g.target_per_1000_us * m[1] / m[0] / 1000 - MIDDLES)
+                   for m, g in zip(self.mix, self.groups) if m[0] > 0]
+        good = [np.array([1 - m.bad for m in side]) for side in (self.readers, self.writers)]
+        pace = np.minimum(1.0, 1.5 / pace)
+        self.table.refresh(read, wait, demands, pace, good, self.load(), tokens, self.hop)
 
     def hop(self, reader, way):
         """Time a token that a move takes: what the way takes when free and, out of the cell, times the strain
@@ -318,40 +193,24 @@
         bins /= bins.sum(axis=1)[:, None]
         return bins, bins @ MIDDLES
 
-    def move_shares(self, base):  # each move counted at once as load to come
-        equal, taking = 1.0 / self.open.sum(), max(1, round(self.open.sum() / ROUND))
+    def load(self):
+        """What each server has to bear as shares go, from own requests and reports."""
+        own, memory = (np.array([getattr(w, of) for w in self.writers]) for of in ("stream_tokens", "memory"))
         # A third of memory at least, so that an idle router still spreads.
-        streams = max(sum(w.stream_tokens for w in self.writers), sum(w.memory for w in self.writers) / 3)
+        streams = max(sum(own.tolist()), sum(memory.tolist()) / 3)
         cost = np.array([self.cost_of(r) for r in self.readers])
-        work = self.read_tokens * self.gateways / self.read_span * cost
-        memory = 2 * np.array([w.memory for w in self.writers])
         n = self.begun[self.w_at].sum() / len(self.writers)
         known = n / (n + 1)  # a writer's own streams say something of it only where each has some
-        fixed = base - 0.1 * (np.array([r.out_tokens for r in self.readers]) * cost / (1000 * MS))[:, None]
-        own = known * np.array([w.stream_tokens for w in self.writers])
         # What writers told of their memory, leaning on the mean of all as it grows old.
         fresh = 0.5 ** (np.array([self.now - w.held_at for w in self.writers]) / HELD_US)
         held = np.array([w.held for w in self.writers])
         held = fresh * held + (1 - fresh) * (fresh @ held / max(1e-9, fresh.sum()))
-        fixed = fixed - TOLD * held * held
         # All routers use the one link of a cell: their part of its time, from own prompts and shares.
         flow = sum(m[1] for m in self.mix) * self.gateways / self.read_span
-        hops = flow * np.array(self.transfer)[self.nearness] * (self.nearness > 0) * ~self.mixed
-        for _ in range(MOVES):
-            used = (own + (2 - known) * streams * self.pairs.sum(axis=0)) / memory
-            load = 0.15 * (work * self.pairs.sum(axis=1)) ** 2
-            link = np.bincount(self.cells, (hops * self.pairs).sum(axis=1))[self.cells]
-            link = np.clip(link - 0.4, 0.0, 2.0) ** 2  # little used it delays nobody
-            score = np.round(fixed - load[:, None] - 0.4 * used * used - 0.6 * link[:, None] * (hops > 0), 6)
-            order = np.argsort(np.where(self.open > 0, score, -9e9), axis=None, kind="stable")
-            flat, score = self.pairs.reshape(-1), score.reshape(-1)
-            worst = order[flat[order] > FLOOR * equal][:taking]
-            for b, w in zip(order[:-taking - 1:-1].tolist(), worst.tolist()):
-                if b == w or score[b] - score[w] < 0.005:
-                    break
-                step = min(STEP * equal, flat[w] - FLOOR * equal * 0.9)
-                flat[w], flat[b] = flat[w] - step, flat[b] + step
-        self.share = dict(zip(self.row, np.maximum(self.pairs.sum(axis=1), 1e-9).tolist()))
+        ahead = np.array([r.out_tokens for r in self.readers]) * cost / (1000 * MS)
+        work = self.read_tokens * self.gateways / self.read_span * cost
+        return Load(ahead, work, known * own, (2 - known) * streams, 2 * memory, TOLD * held * held,
+                    flow * np.array(self.transfer))
 
     def look_for_silence(self):
         """What a silent server holds, or later forwards have far overtaken there, is as good as lost: reads
@@ -359,7 +218,8 @@
         vanish anywhere, and one stuck slot; could harm where a server answers out of order by habit."""
         known = self.reads.sum() >= LATE_READS * len(self.readers)
         suspects = sum(m.suspect and m.mode == "ready" for m in self.machines.values())
-        self.mode("trouble in common", suspects * 2 > len({*self.row, *self.column}), f"{suspects} suspects")
+        listed = len({*self.table.rows.at, *self.table.columns.at})
+        self.mode("trouble in common", suspects * 2 > listed, f"{suspects} suspects")
         for m in [m for m in self.machines.values() if m.waiting]:
             most = 2 * m.out_tokens * self.cost_of(m)
             for (rid, number), (sent, writing) in list(m.waiting.items()):
@@ -421,19 +281,10 @@
         warmed = (self.now - m.started_us) / self.cold_us
         return self.cold_multiple * (self.cold_from + (1 - self.cold_from) * warmed)
 
-    def mean_tokens(self):  # of a prompt, lately
-        return sum(m[1] for m in self.mix) / max(1, sum(m[0] for m in self.mix))
-
-    def mean_besides(self, tokens):
-        """Mean prompt of the requests seen besides one of `tokens`, 0 where there was none: the first requests
-        of a process would else count as usual, however long."""
-        seen = sum(m[0] for m in self.mix) - 1
-        return max(0, sum(m[1] for m in self.mix) - tokens) / seen if seen > 0.01 else 0
-
     def bears(self, m, long, mean, part):
-        """Whether a prompt, `long` times the mean of `mean` tokens, leaves a cold prefill server enough of what
-        the rule allows for chance. Guards against a prompt that alone brings it down; could harm long prompts
-        where few servers are warm."""
+        """Whether a prompt, `long` times the mean of `mean` tokens, takes no more than a part of what the
+        rule allows for chance. Guards against one that alone brings a server down; could harm long ones
+        where few are warm."""
         n = self.fall_us * self.cold_level(m) / max(1.0, mean * self.cost_of(m))
         return long <= part * (sqrt(n) + 1)
 
@@ -463,7 +314,7 @@
         for m, share in zip(cold, shares):
             parts.append((m, share * served * min(1.0, self.cold_level(m) * COLD_PART)))
         if key is not None and len(parts) > 2:  # most work there is text that it has not kept
-            parts.sort(key=lambda p: -log(1 - self.hash(key, p[0])) / max(p[1], 1e-9))
+            parts.sort(key=lambda p: -log(1 - rank(key, p[0])) / max(p[1], 1e-9))
             more = min(COLD_HOMES, 1 + COLD_HOT / max(0.01, self.heat_of(key)))
             homes, whole = ceil(len(parts) / more), sum(part for _, part in parts)
             parts = [(m, min(whole / homes, more * part)) for m, part in parts[:homes]]
@@ -473,7 +324,7 @@
     def on_req(self, rid, tokens, expires, session, prefix, prefix_tokens, _out, _hint, bits, tenant, group):
         g = self.groups[group]
         target = self.now + g.target_us + g.target_per_1000_us * tokens // 1000
-        req = self.reqs[rid] = Req(rid, group, tenant or 0, tokens, self.now, expires, target)
+        req = self.reqs[rid] = RequestState(rid, group, tenant or 0, tokens, self.now, expires, target)
         req.session, req.prefix, req.prefix_tokens = session, prefix, prefix_tokens or 0
         req.repeat = bool(bits & REPEAT)
         fade = 0.5 ** ((self.now - self.rush_us) / RUSH_US)
@@ -484,9 +335,14 @@
             self.heat[prefix] = self.heat.get(prefix, 0) + 1
             if sum(self.heat.values()) > 80:
                 self.heat = {key: n / 2 for key, n in self.heat.items() if n > 0.5}
-        req.over = req.tenant < len(self.quota) and self.quota_left[req.tenant] < 0
+        req.over = req.tenant < len(self.quota) and self.left_of(req.tenant) < 0
         self.read(req)
 
+    def left_of(self, tenant):  # its quota, as of the last refresh
+        quota = self.quota[tenant]
+        left, at = self.quota_left.get(tenant, (2 * quota, self.began_us))
+        return min(2 * quota + 4, left + quota * max(0, self.moved_us - at) / 1e6)
+
     def read(self, req):
         if len(req.forwards) >= self.most_forwards - 1 or self.now + self.margin_us >= req.expires:
             return self.give_up(req)
@@ -518,7 +374,8 @@
         if late and self.may_push_back(req):
             return self.give_up(req, int(ready_us + wait - allowed / 2))
         if req.tenant < len(self.quota) and not req.forwards:
-            self.quota_left[req.tenant] = max(-self.quota[req.tenant] - 2, self.quota_left[req.tenant] - 1)
+            left = max(-self.quota[req.tenant] - 2, self.left_of(req.tenant) - 1)
+            self.quota_left[req.tenant] = left, self.moved_us
         kept, req.fresh = reader.kept, max(1, req.tokens - self.known(req, reader))
         if len(kept) > 2000:
             kept.clear()
@@ -536,7 +393,7 @@
         mean = self.mean_besides(req.tokens) or all_cold and req.tokens
         long = req.tokens / max(1, mean)
         bearing = [r for r in cold if self.bears(r, long, mean, COLD_LONG if all_cold else 1.0)]
-        parts = [min(self.share[r.id], 1 / len(self.readers)) for r in bearing]
+        parts = [min(self.table.share[r.id], 1 / len(self.readers)) for r in bearing]
         return self.turn_of(at * max(1.0, long), bearing, parts, all_cold, key)
 
     def choose_reader(self, req, at):
@@ -547,7 +404,8 @@
         turn = self.cold_reader(req, at, cold, not usable, key) if cold else None
         if turn or not usable:
             return turn, 0
-        drawn = self.draw([(r, self.share[r.id] + (0.3 / len(usable) if r.suspect else 0.0)) for r in usable])
+        shares, trial = self.table.share, 0.3 / len(usable)  # a suspect is here for a trial only
+        drawn = self.chance.draw([(r, shares[r.id] + trial * r.suspect) for r in usable])
         ends = {}
         for r in usable:
             ahead = r.out_tokens + req.tokens - self.known(req, r) * r.trust
@@ -557,8 +415,8 @@
             return drawn, ends[drawn.id]
         allowed = max(0.25 * (req.target - req.arrived), min(ends.values()) * 1.1)
         fit = [r for r in usable if ends[r.id] <= allowed and not r.suspect]
-        share = self.share[drawn.id]  # the best or near it; mixed servers have shares of their own
-        near = [r for r in usable if NEAR * share <= self.share[r.id] <= share / NEAR and not r.suspect]
+        share = shares[drawn.id]  # the best or near it; mixed servers have shares of their own
+        near = [r for r in usable if NEAR * share <= shares[r.id] <= share / NEAR and not r.suspect]
         home = max(fit, key=lambda r: r.kept.get(req.session, 0), default=drawn)
         if req.session in home.kept and home in fit:
             drawn = home
@@ -569,8 +427,8 @@
             # Ranks follow the shares the more, the less this router's own reads tell of each reader.
             by = max(0.0, 1 - self.reads.sum() / (4 * len(self.readers)))
             homes = max(1, min(2, len(near) // 3), ceil(2 * len(near) * self.heat_of(key)))
-            near.sort(key=lambda r: -log(1 - self.hash(key, r)) / self.share[r.id] ** by)
-            ranked = sorted(near[:homes], key=lambda r: self.hash(req.session, r)) + near[homes:2 * homes]
+            near.sort(key=lambda r: -log(1 - rank(key, r)) / shares[r.id] ** by)
+            ranked = sorted(near[:homes], key=lambda r: rank(req.session, r)) + near[homes:2 * homes]
             drawn = next((r for r in ranked if r in fit), None) or ranked[0]
         elif drawn not in fit or key is None:
             drawn = min(near or usable, key=lambda r: ends[r.id])
@@ -587,17 +445,6 @@
         kind = us / tokens if tokens else self.start_cost
         return (r.read_us + 1000 * kind) / (r.read_tokens + 1000)
 
-    def hash(self, key, r):
-        return mixed(f"{key}/{r.id}".encode())
-
-    def chance(self):
-        self.draws += 1
-        return mixed(b"%d/%d" % (self.seed, self.draws))
-
-    def draw(self, weighted):
-        sums = list(accumulate(weight for _, weight in weighted))
-        return weighted[min(bisect_left(sums, self.chance() * sums[-1]), len(sums) - 1)][0]
-
     def write(self, req):
         writer = self.choose_writer(req) if len(req.forwards) < self.most_forwards else None
         self.send(req, writer, "write") if writer else self.give_up(req)
@@ -606,23 +453,23 @@
         usable = self.reachable(self.writers, req)
         if not usable:
             return None
-        shares = self.pairs[self.row[req.holder.id]] if req.holder.id in self.row else self.pairs.mean(axis=0)
+        shares, column = self.table.shares_from(req.holder), self.table.columns.at
         cold, usable = [w for w in usable if w.cold], [w for w in usable if not w.cold]
         if req.turn in cold:
             return req.turn
         if cold:  # never more than an equal share of all, however near it is to some readers
-            most = 1 / len(self.writers) / np.maximum(self.pairs.sum(axis=0), 1e-9)
+            most = 1 / len(self.writers) / np.maximum(self.table.writer_shares(), 1e-9)
             turns = shares / (shares.sum() or 1.0) * np.minimum(1.0, most)
             at = 1.0 if any(stage == "write" for _, stage, *_ in req.forwards) else self.chance()
-            turn = self.turn_of(at, cold, [turns[self.column[w.id]] for w in cold], not usable)
+            turn = self.turn_of(at, cold, [turns[column[w.id]] for w in cold], not usable)
             if turn or not usable:
                 return turn
-        row = [(w, shares[self.column[w.id]] or 1e-6) for w in usable]
-        drawn, best = self.draw(row), max(v for _, v in row)
+        row = [(w, shares[column[w.id]] or 1e-6) for w in usable]
+        drawn, best = self.chance.draw(row), max(v for _, v in row)
         near = {w: v for w, v in row if v >= NEAR * best and not w.suspect}
         least = min((w.stream_tokens / w.memory for w in near), default=0)  # nothing at many: draw by share
         least = [(w, v) for w, v in near.items() if w.stream_tokens / w.memory == least]
-        return self.draw(least) if drawn in near else drawn
+        return self.chance.draw(least) if drawn in near else drawn
 
     def may_forward(self, req, machine):
         """Effects: whether a repeat at this server can do no harm."""
--- /dev/null
+++ b/lapiswing/routing/pair_table.py
@@ -0,0 +1,181 @@
+"""The pair table of docs/design.md: each pair's part of the requests, by what a prefill and a decode server
+should attain together, and the small solver that moves shares from the worst pairs to the best.
+Servers stand alone while their pairs are few. Beyond that those of one kind in some racks of a zone share a
+row or a column, and a second step moves shares inside each group: work grows with servers, not with pairs."""
+import numpy as np
+
+from lapiswing.routing.groups import Racks, Side
+
+SINGLE_PAIRS = 10_000  # of single servers at the most: all that a hundred servers can have
+GROUP_PAIRS = 4_000  # of groups at the most: their sorts take a millisecond
+MOVES = 4  # moves of share from worst to best pairs at each refresh
+STEP = 0.7  # share that a pair gives up in one move at the most, against an equal share
+FLOOR = 0.14  # least share of a pair, so that it is met again, against an equal share
+ROUND = 32  # pairs for each one that takes part in a move
+STAY = 0.8  # of a bound: a grouping lasts until this part of it would do with smaller groups
+LEAST_GAIN = 0.005  # of score, for which a share moves
+EDGES = np.array([15, 25, 40, 60, 90, 130, 190, 270, 390, 560, 800, 1150, 1650, 2400, 3500, 5000]) * 1000
+MIDDLES = np.concatenate(([10_000], (EDGES[1:] + EDGES[:-1]) // 2, [8_000_000]))  # of latencies' bins, us
+STEPS = EDGES.tolist()
+
+
+class PairTable:
+    def __init__(self, zone, far_price, cross_price):
+        """`zone`: the gateway's own. Prices: of leaving a rack and of crossing zones, as attainment."""
+        self.zone, self.far_price, self.cross_price = zone, far_price, cross_price
+        self.rows = self.columns = Side([], None, {})
+        self.racks_a_group = 0  # none: servers stand alone
+        self.pairs = self.size = np.zeros((0, 0))  # share of each pair of groups; pairs of servers in it
+        self.share = {}  # of each prefill server
+
+    def arrange(self, readers, writers):
+        """Takes the servers as they are now. Pairs that stay keep their shares, new ones get the mean."""
+        rows, columns, density = self.rows, self.columns, self.pairs / np.maximum(1, self.size)
+        key_of, label_of = self.grouping(readers, writers)
+        self.rows = Side(readers, key_of, dict(zip(rows.at, rows.weight.tolist())))
+        self.columns = Side(writers, key_of, dict(zip(columns.at, columns.weight.tolist())))
+        r_label, r_zone, mixed = self.rows.lead(label_of, lambda m: m.zone, lambda m: m.writes)
+        w_label, w_zone = self.columns.lead(label_of, lambda m: m.zone)
+        own = np.zeros((len(r_label), len(w_label)), bool)  # a mixed server writes itself what it reads
+        own[tuple(self.rows.kept(self.columns))] = True
+        self.mixed, self.open = mixed[:, None] > 0, own | (mixed[:, None] == 0)
+        self.nearness = np.where(r_label[:, None] == w_label, 0, 1 + (r_zone[:, None] != w_zone))
+        self.links = np.unique(r_label, return_inverse=True)[1]  # by row; the racks of a group count as one
+        racks = {(label_of(m), m.cell) for m in readers}
+        self.racks = np.bincount(np.searchsorted(np.unique(r_label), [label for label, _ in racks]))
+        self.ways = [(i, r, way) for i, r in enumerate(self.rows.first) if not r.writes
+                     for way in set(self.nearness[i].tolist())]  # nearnesses that a reader's moves may have
+        self.price = self.far_price * (self.nearness > 0) + self.cross_price * (
+            (r_zone != self.zone)[:, None] + ((w_zone != self.zone) & ~own))
+        alike = self.rows.counts[:, None]
+        self.size = np.where(own, alike, alike * self.columns.counts) * self.open
+        self.keep_shares(rows, columns, density)
+
+    def grouping(self, readers, writers):
+        """-> the key of a server's group, and a number for the racks that it stands for."""
+        if len(readers) * len(writers) <= SINGLE_PAIRS * (STAY if self.racks_a_group else 1):
+            self.racks_a_group = 0
+            return lambda m: m.id, lambda m: m.cell
+        racks, together = Racks(readers, writers), max(1, self.racks_a_group)
+        while racks.pairs(readers, writers, together) > GROUP_PAIRS and together < len(racks):
+            together *= 2
+        while together > 1 and racks.pairs(readers, writers, together // 2) <= STAY * GROUP_PAIRS:
+            together //= 2
+        self.racks_a_group = together
+        return lambda m: racks.key(m, together), lambda m: racks.label(m, together)
+
+    def keep_shares(self, rows, columns, density):
+        (here, was), (there, were) = self.rows.kept(rows), self.columns.kept(columns)
+        pairs = np.zeros(self.size.shape)
+        pairs[np.ix_(here, there)] = density[np.ix_(was, were)]
+        pairs[pairs == 0] = pairs[pairs > 0].mean() if pairs.any() else 1.0
+        self.pairs = pairs * self.size / ((pairs * self.size).sum() or 1.0)
+        self.tell_shares()
+
+    def tell_shares(self):
+        shares = self.rows.spread(self.pairs.sum(axis=1))
+        self.share = dict(zip(self.rows.at, np.maximum(shares, 1e-9).tolist()))
+
+    def writer_shares(self):
+        return self.columns.spread(self.pairs.sum(axis=0))
+
+    def shares_from(self, reader):
+        """The shares of all decode servers behind one prefill server; behind one that has left, the mean."""
+        at = self.rows.at.get(reader.id)
+        if at is None:
+            return self.columns.spread(self.pairs.mean(axis=0))
+        group = self.rows.group[at]
+        shares = self.columns.spread(self.pairs[group])
+        return self.nearer(reader, group, shares) if self.rows.grouped else shares
+
+    def nearer(self, reader, group, shares):
+        """Of what goes to the reader's group of racks its own rack gets what its decode servers can take:
+        a rack with many readers must not drown its few."""
+        near = (self.nearness[group] == 0)[self.columns.group]
+        own = near & (self.columns.cells == reader.cell)
+        if not own.any() or own.sum() == near.sum():
+            return shares
+        readers = (self.rows.group == group) & (self.rows.cells == reader.cell)
+        part = min(1.0, own.sum() / near.sum() * self.rows.counts[group] / readers.sum())
+        others, whole = near & ~own, shares[near].sum()
+        shares[own] *= part * whole / (shares[own].sum() or 1.0)
+        shares[others] *= (1 - part) * whole / (shares[others].sum() or 1.0)
+        return shares
+
+    def refresh(self, read, wait, demands, pace, good, load, tokens, hop):
+        """Moves shares once. `read`, `wait`: latencies' parts, server by bin; `pace`: a factor of decode
+        servers, `good` of both sides; `tokens`: of a mean prompt; `hop(reader, way)`: time to move one."""
+        alone, begun = (np.full(len(parts), 0.0 if demands else 1.0) for parts in (read, wait))
+        for part, left in demands:
+            alone += part * (read @ (left > 0))
+            begun += part * (wait @ (left > 0))
+        # First, as a group is not bad for one bad server in it.
+        self.move_in_groups(alone * good[0], begun * pace * good[1], load)
+        value = self.attainment(read, wait, demands, tokens, hop)
+        value = np.where(self.mixed, self.rows.mean(alone)[:, None], value)
+        value = value * self.columns.mean(pace)
+        value *= np.outer(self.rows.mean(good[0]), self.columns.mean(good[1]))
+        self.move_shares(value - self.price, load)
+
+    def attainment(self, read, wait, demands, tokens, hop):
+        """Estimated for each pair, before what is known to be bad or slow."""
+        value = np.full(self.pairs.shape, 0.0 if demands else 1.0)
+        rows, columns = self.rows.mean(read), self.columns.mean(wait)
+        # How many wait bins each read bin leaves the writer, a table for all readers whose moves cost alike.
+        begins = np.concatenate((np.zeros((len(columns), 1)), np.cumsum(columns, axis=1)), axis=1)
+        alike = {}
+        for i, reader, way in self.ways:
+            alike.setdefault((way, float("%.1g" % hop(reader, way))), []).append(i)
+        for part, left in demands:
+            for (way, cost), among in alike.items():
+                over = left - tokens * cost
+                bins = np.where(over > 0, np.searchsorted(EDGES, over) + 1, 0)
+                value[among] += part * (rows[among] @ begins[:, bins].T) * (self.nearness[among] == way)
+        return value
+
+    def move_shares(self, base, load):
+        """Each move counts at once as load to come."""
+        equal, taking = (self.size / self.size.sum()).reshape(-1), max(1, round(self.open.sum() / ROUND))
+        work = self.rows.mean(load.work)
+        own, memory = self.columns.total(load.own), self.columns.total(load.memory)
+        fixed = base - 0.1 * self.rows.mean(load.ahead)[:, None] - self.columns.mean(load.told)
+        hops = load.flow[self.nearness] * (self.nearness > 0) * ~self.mixed
+        for _ in range(MOVES):
+            used = (own + load.streams * self.pairs.sum(axis=0)) / memory
+            busy = 0.15 * (work * self.pairs.sum(axis=1) / self.rows.counts) ** 2
+            link = (np.bincount(self.links, (hops * self.pairs).sum(axis=1)) / self.racks)[self.links]
+            link = np.clip(link - 0.4, 0.0, 2.0) ** 2  # little used it delays nobody
+            score = np.round(fixed - busy[:, None] - 0.4 * used * used - 0.6 * link[:, None] * (hops > 0), 6)
+            order = np.argsort(np.where(self.open > 0, score, -9e9), axis=None, kind="stable")
+            self.move(order, score.reshape(-1), self.pairs.reshape(-1), equal, taking)
+        self.tell_shares()
+
+    @staticmethod
+    def move(order, score, share, equal, taking):
+        worst = order[share[order] > FLOOR * equal[order]][:taking]
+        for best, worst in zip(order[:-taking - 1:-1].tolist(), worst.tolist()):
+            if best == worst or score[best] - score[worst] < LEAST_GAIN:
+                break
+            step = min(STEP * equal[worst], share[worst] - FLOOR * equal[worst] * 0.9)
+            share[worst], share[best] = share[worst] - step, share[best] + step
+
+    def move_in_groups(self, readers, writers, load):
+        """`readers`, `writers`: what each attains by itself."""
+        if self.rows.grouped:
+            busy = 0.15 * (load.work * self.rows.spread(self.pairs.sum(axis=1))) ** 2
+            self.move_inside(self.rows, readers - 0.1 * load.ahead - busy)
+        if self.columns.grouped:
+            used = (load.own + load.streams * self.writer_shares()) / load.memory
+            self.move_inside(self.columns, writers - load.told - 0.4 * used * used)
+
+    @staticmethod
+    def move_inside(side, score):
+        """One move of weight in each group, from its worst server above the floor to its best."""
+        low = np.where(side.weight > FLOOR, score, np.inf)
+        worst = np.lexsort((low, side.group))[side.starts]
+        best = np.lexsort((score, side.group))[side.starts + side.counts - 1]
+        gain = score[best] - low[worst] >= LEAST_GAIN
+        worst, best = worst[gain], best[gain]
+        step = np.minimum(STEP, side.weight[worst] - FLOOR * 0.9)
+        side.weight[worst] -= step
+        side.weight[best] += step
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,6 +5,8 @@
 import pytest
 from trace import MS, Play, check
 
+from lapiswing.routing.chance import rank
+
 
 def test_read_then_write():
     play = Play()
@@ -263,7 +265,7 @@
         took = 20 if reader[1] == writer[1] else 1500 if reader == "r2" and i > 5 else 150
         play.at(play.now + took, ("first", i, writer, took * MS, 1), ("timer", 0))
         play.at(play.now + 100, play.outcome(i, 1, writer, "done", took + 100, True))
-        left.append(play.router.share["r2"])
+        left.append(play.router.table.share["r2"])
     assert left[-1] < 0.6 * left[0] and play.router.hop(play.router.machines["r2"], 1) > 2 * play.router.transfer[1]
 
 
@@ -271,7 +273,7 @@
     play = Play(servers=("r0", "w1", "w2"))
 
     def share(name):
-        return play.router.pairs[:, play.router.column[name]].sum()
+        return play.router.table.writer_shares()[play.router.table.columns.at[name]]
 
     for i in range(40):
         play.at(10 + 300 * i, play.req(i, prefix=f"c:{i}"))
@@ -354,7 +356,7 @@
             play.at(10 + 300 * i, play.req(i, prefix=f"c:{i}"))
             play.at(100 + 300 * i, play.outcome(i, 0, play.sent()[-1][2], "read"), ("client_left", i))
             play.at(200 + 300 * i, ("timer", 0))
-        left.append(play.router.share["r0"] * size)
+        left.append(play.router.table.share["r0"] * size)
     assert all(0.1 < part < 0.5 for part in left) and abs(left[0] - left[1]) < 0.15
 
 
@@ -385,7 +387,7 @@
     play.at(5000, play.outcome(1, 1, writer, "done", 4900, True))
     play.at(5100, ("servers", "replace", [play.server(n) for n in names]))
     assert list(router.machines) == list(names) and [m.at for m in router.machines.values()] == [0, 1, 2, 3]
-    assert router.joint.shape == (4, 4) and len(router.reads) == len(router.waits) == len(router.begun) == 4
+    assert router.table.pairs.shape == (2, 2) and len(router.table.share) == 2 and len(router.reads) == len(router.waits) == len(router.begun) == 4
     play.at(5200, play.req(2))
     assert play.sent()[-1][2] in names
 
@@ -437,7 +439,7 @@
     first = Counter()
     for n in range(4000):
         key = f"{n * 0x9e3779b97f4a7c15 % 2 ** 64:016x}"
-        first.update(sorted((r.id for r in play.router.readers), key=lambda m: -play.router.hash(
+        first.update(sorted((r.id for r in play.router.readers), key=lambda m: -rank(
             key, play.router.machines[m]))[:2])
     assert max(first.values()) < 1.35 * 8000 / 24 and min(first.values()) > 0.65 * 8000 / 24, first
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -533,7 +533,7 @@
         door.until(lambda: not door.node.server.connections)
         router = core.router
         assert len(router.machines) <= 3 and len(core.kinds) <= 3 and len(core.tally.boxes) <= 3
-        assert router.joint.shape[0] <= 3 and not router.reqs and not core.ended
+        assert max(router.table.pairs.shape) <= 3 and len(router.taken) <= 3 and not router.reqs and not core.ended
         assert len(door.node.pool.count) <= 2 and len(door.node.pool.all) <= 2 * door.node.pool.kept
         assert len(door.loop.watched) < 40 and len([t for t in door.loop.timers if t[2].call is not None]) < 20
 
