--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -11,7 +11,7 @@
 from benchmarks.scale import charts as pictures
 from benchmarks.scale import fleet as fleets
 from benchmarks.scale import rig as rigs
-from benchmarks.scale import router_cost, scenario
+from benchmarks.scale import link_cost, process_cost, router_cost, scenario, tenants
 from benchmarks.scale.target import TARGET
 from lapiswing.errors import OperatorError
 
@@ -63,6 +63,50 @@
     save(out, record)
 
 
+def show(costs):
+    click.echo("  ".join(f"{name:>24}" for name in costs[0]._fields))
+    for cost in costs:
+        click.echo("  ".join(f"{value:>24.4g}" for value in cost))
+
+
+@main.command()
+@click.option("--sizes", default="160,320,640,1280", callback=sizes, help="Servers in the list.")
+@click.option("--out", type=click.Path(path_type=Path), help="Where the record goes, as JSON.")
+def process(sizes, out):
+    """One real gateway with nothing to do, by size of the list."""
+    costs = process_cost.slope(sizes)
+    show(costs)
+    save(out, [cost._asdict() for cost in costs])
+
+
+@main.command()
+@click.option("--sizes", default="50,100,200,410", callback=sizes, help="Copies on the link.")
+@click.option("--out", type=click.Path(path_type=Path), help="Where the record goes, as JSON.")
+def link(sizes, out):
+    """A copy on the fleet link, idle, by number of copies."""
+    costs = link_cost.slope(sizes)
+    show(costs)
+    save(out, [cost._asdict() for cost in costs])
+
+
+@main.command("tenants")
+@click.option("--gateways", default="1,4,41,410", callback=sizes, help="Through how many a tenant comes.")
+@click.option("--out", type=click.Path(path_type=Path), help="Where the record goes, as JSON.")
+def tenant_shares(gateways, out):
+    """What becomes of a tenant that asks for its whole share through few gateways."""
+    costs = [tenants.measure(used) for used in gateways]
+    show(costs)
+    save(out, [cost._asdict() for cost in costs])
+
+
+@main.command()
+def target():
+    """The operators' size, and how little one gateway sees of it."""
+    for name in [*TARGET.__dataclass_fields__, "prefill_servers", "decode_servers", "requests_a_gateway", "tokens_a_request",
+                 "seconds_between_reads", "hours_between_pairs"]:
+        click.echo(f"{name:<26} {getattr(TARGET, name):.4g}")
+
+
 def play_fleet(arguments):
     """In a process of its own. -> the arguments and what came of them."""
     return arguments, asdict(fleets.ScaleFleet(*arguments).play().served())
@@ -74,15 +118,16 @@
 @click.option("--faults", default=",".join(fleets.FleetFault), help="Names, with commas.")
 @click.option("--seconds", default=16, help="Simulated; a fault begins after 5 s.")
 @click.option("--seeds", default=1, help="Plays of each.")
+@click.option("--subset", default=0, help="Servers that each gateway works with, as a probe; 0: all.")
 @click.option("--processes", default=4, help="Plays at once; each takes some GB at the target's size.")
 @click.option("--out", type=click.Path(path_type=Path), help="Where the record goes, as JSON.")
-def fleet(gateways, servers, faults, seconds, seeds, processes, out):
+def fleet(gateways, servers, faults, seconds, seeds, subset, processes, out):
     """All Routers of a fleet in simulated time, under each fault."""
     os.environ.setdefault("OPENBLAS_NUM_THREADS", "1")
-    plays = [(seed, gateways, servers, fault, seconds) for fault in faults.split(",") for seed in range(1, seeds + 1)]
+    plays = [(seed, gateways, servers, fault, seconds, subset) for fault in faults.split(",") for seed in range(1, seeds + 1)]
     rows = []
     with Pool(min(processes, len(plays))) as pool:
-        for (seed, _, _, fault, _), served in pool.imap(play_fleet, plays, chunksize=1):
+        for (seed, _, _, fault, *_), served in pool.imap(play_fleet, plays, chunksize=1):
             rows.append({"fault": str(fault), "seed": seed, **served})
             click.echo(f"{fault:<8} seed {seed}  " + "  ".join(f"{name} {value:.3g}" for name, value in served.items()))
     save(out, rows)
--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -17,6 +17,7 @@
 from benchmarks.scale.target import TARGET
 from lapiswing.lab.coldfleet import bound
 from lapiswing.policy import Router
+from lapiswing.routing.chance import mixed
 
 TARGET_US, TARGET_PER_TOKEN_US, DEADLINE_US = 1200 * MS, 40, 5 * S
 PREFILL_LOAD = 0.85  # of what prefill servers could read with nothing kept
@@ -59,6 +60,9 @@
     spread: float  # of prefill work over servers: the ninth tenth against the mean
     texts: float  # servers that a popular text is kept at
     cold_worst: float  # the most that a cold prefill server was sent, against its bound
+    in_rack: float  # of the tokens handed over, those that stay in their rack
+    in_zone: float  # that leave the rack and stay in the zone
+    in_region: float  # that leave the zone and stay in the region
 
 
 class Sink:
@@ -120,7 +124,9 @@
 
 
 class ScaleFleet:
-    def __init__(self, seed, gateways, servers, fault, seconds, requests_a_gateway=TARGET.requests_a_gateway):
+    def __init__(self, seed, gateways, servers, fault, seconds, subset=0,
+                 requests_a_gateway=TARGET.requests_a_gateway):
+        """`subset`: how many of the servers each gateway works with, whole racks of each zone; 0: all."""
         self.chance, self.fault, self.seconds = np.random.default_rng([seed, 3]), FleetFault(fault), seconds
         self.now, self.events, self.order = 0, [], count()
         rows = server_rows(servers, TARGET.prefill_part, TARGET.zones)
@@ -133,7 +139,9 @@
         self.links = Counter()  # when each rack's link is free
         self.weights = self.uneven(gateways)
         self.zone_of = [i % TARGET.zones for i in range(gateways)]
-        self.settings = router_settings(gateways, TARGET.tenants, self.rate, COLD_FROM)
+        self.subset = subset
+        told = max(1, round(gateways * subset / servers)) if subset else gateways
+        self.settings = router_settings(told, TARGET.tenants, self.rate * told / gateways, COLD_FROM)
         self.seeds = [int(x) for x in self.chance.integers(0, 1 << 62, gateways)]
         self.requests, self.out, self.counted = {}, {}, Counter()
         self.conversations = []
@@ -162,8 +170,13 @@
         self.routers[gateway] = Router(self.seeds[gateway] + self.now, settings, self.now)
         self.sinks[gateway] = Sink(self, gateway)
         rows = [s.row._replace(started_us=s.started_us) for s in self.servers.values() if not s.dead]
+        rows = [row for row in rows if self.works_with(gateway, row)]
         self.routers[gateway].round(self.now, [("servers", "restored", rows)], self.sinks[gateway])
 
+    def works_with(self, gateway, row):
+        """A probe of subsets: each rack by a hash, so that all have about as many gateways."""
+        return not self.subset or mixed(b"%d/%d" % (gateway, row.cell)) < self.subset / len(self.servers)
+
     def play(self):
         end = self.seconds * S
         while self.events and self.events[0][0] < end:
@@ -247,6 +260,7 @@
         model.open += 1
         request = self.requests[key[0], key[1]]
         holder = self.servers[request.holder].row if request.holder else model.row
+        self.counted[nearness(holder, model.row)] += request.tokens
         if holder.cell == model.row.cell:
             arrives = self.now + S * request.tokens / RACK_TOKENS_S
         else:
@@ -295,7 +309,8 @@
 
     def spread_news(self, rows, after_us):
         for gateway in range(len(self.routers)):
-            self.tell(after_us + int(self.chance.uniform(*LIST_LAG_US)), gateway, ("servers", "update", rows))
+            known = [row for row in rows if self.works_with(gateway, row)]
+            self.tell(after_us + int(self.chance.uniform(*LIST_LAG_US)), gateway, ("servers", "update", known))
 
     def lose(self, servers):
         """They fall silent; discovery tells of it late, and of their return with a new start."""
@@ -359,8 +374,12 @@
         at = [sum(text in s.texts for s in self.servers.values()) for text in popular]
         return Served(len(counted), part(counted), sum(r.first_us is not None for r in counted) / len(counted),
                       part([r for r in counted if r.tokens >= long_from]), part(small),
-                      sum(parts[:max(1, len(parts) // 10)]) / max(1, len(parts) // 10), self.counted["kept"] / self.counted["tokens"],
-                      float(np.quantile(work, 0.9) / work.mean()), sum(at) / len(at), self.cold_worst())
+                      sum(parts[:max(1, len(parts) // 10)]) / max(1, len(parts) // 10), self.counted["kept"] / max(1, self.counted["tokens"]),
+                      float(np.quantile(work, 0.9) / max(1.0, work.mean())), sum(at) / len(at), self.cold_worst(), *self.moved())
+
+    def moved(self):
+        tokens = [self.counted[near] for near in ("rack", "zone", "region", "other")]
+        return [one / max(1, sum(tokens)) for one in tokens[:3]]
 
     def cold_worst(self):
         worst, mean_work_us = 0.0, self.cost_us * MEAN_TOKENS
@@ -376,5 +395,15 @@
         return worst
 
 
+def nearness(one, other):
+    """The smallest thing that two servers share; zones are in two regions."""
+    if one.cell == other.cell:
+        return "rack"
+    if one.zone == other.zone:
+        return "zone"
+    half = TARGET.zones // TARGET.regions
+    return "region" if one.zone // half == other.zone // half else "other"
+
+
 def part(requests):
     return sum(r.in_time for r in requests) / max(1, len(requests))
