Weights inside groups follow health and reports; a refresh after four outcomes as before

Cause: a server's own read every 27 to 54 s is chance, and rendezvous ranks weighted with shares that follow it differ between gateways.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -14,7 +14,7 @@
 
 MS = 1000
 REFRESH_US = 250 * MS  # how often, while something is out or new, scores are made anew and shares move
-NEWS, SERVERS_A_NEWS = 4, 25  # outcomes, and servers for each, that are worth a refresh within a second
+NEWS = 4  # outcomes that make a refresh worth its cost before a second has passed
 FIRST_PAIRS = 200_000  # looked at before the first req
 NEAR = 0.3  # shares above this part of the best are near it
 MEMORY_US = (2000 * MS, 10000 * MS)  # measurements are halved no sooner and no later than this
@@ -109,9 +109,8 @@
         if self.asks and not self.subscribed and self.now >= self.ask_us:
             self.ask_us = self.now + 1000 * MS
             self.out.watch(True)  # not asked yet, the call failed or the subscription broke
-        past, worth = self.now - self.moved_us, max(NEWS, len(self.machines) / SERVERS_A_NEWS)
-        if self.news >= worth or past >= 4 * REFRESH_US:
-            self.measure(max(1, past))
+        if self.news >= NEWS or self.now - self.moved_us >= 4 * REFRESH_US:
+            self.measure(max(1, self.now - self.moved_us))
             self.refresh()
         self.look_for_silence()
 
--- a/lapiswing/routing/pair_table.py
+++ b/lapiswing/routing/pair_table.py
@@ -105,14 +105,10 @@
     def refresh(self, read, wait, demands, pace, good, load, tokens, hop):
         """Moves shares once. `read`, `wait`: latencies' parts, server by bin; `pace`: a factor of decode
         servers, `good` of both sides; `tokens`: of a mean prompt; `hop(reader, way)`: time to move one."""
-        alone, begun = (np.full(len(parts), 0.0 if demands else 1.0) for parts in (read, wait))
-        for part, left in demands:
-            alone += part * (read @ (left > 0))
-            begun += part * (wait @ (left > 0))
-        # First, as a group is not bad for one bad server in it.
-        self.move_in_groups(alone * good[0], begun * pace * good[1], load)
-        value = self.attainment(read, wait, demands, tokens, hop)
-        value = np.where(self.mixed, self.rows.mean(alone)[:, None], value)
+        if self.racks_a_group:  # first, as a group is not bad for one bad server in it
+            self.move_inside(self.rows, good[0])
+            self.move_inside(self.columns, good[1] * pace - load.told)
+        value = self.attainment(self.rows.mean(read), self.columns.mean(wait), demands, tokens, hop)
         value = value * self.columns.mean(pace)
         value *= np.outer(self.rows.mean(good[0]), self.columns.mean(good[1]))
         self.move_shares(value - self.price, load)
@@ -120,18 +116,18 @@
     def attainment(self, read, wait, demands, tokens, hop):
         """Estimated for each pair, before what is known to be bad or slow."""
         value = np.full(self.pairs.shape, 0.0 if demands else 1.0)
-        rows, columns = self.rows.mean(read), self.columns.mean(wait)
+        alone, alike = value[:, 0].copy(), {}
         # How many wait bins each read bin leaves the writer, a table for all readers whose moves cost alike.
-        begins = np.concatenate((np.zeros((len(columns), 1)), np.cumsum(columns, axis=1)), axis=1)
-        alike = {}
+        begins = np.concatenate((np.zeros((len(wait), 1)), np.cumsum(wait, axis=1)), axis=1)
         for i, reader, way in self.ways:
             alike.setdefault((way, float("%.1g" % hop(reader, way))), []).append(i)
         for part, left in demands:
-            for (way, cost), among in alike.items():
+            alone += part * (read @ (left > 0))
+            for (way, cost), rows in alike.items():
                 over = left - tokens * cost
                 bins = np.where(over > 0, np.searchsorted(EDGES, over) + 1, 0)
-                value[among] += part * (rows[among] @ begins[:, bins].T) * (self.nearness[among] == way)
-        return value
+                value[rows] += part * (read[rows] @ begins[:, bins].T) * (self.nearness[rows] == way)
+        return np.where(self.mixed, alone[:, None], value)
 
     def move_shares(self, base, load):
         """Each move counts at once as load to come."""
@@ -159,18 +155,10 @@
             step = min(STEP * equal[worst], share[worst] - FLOOR * equal[worst] * 0.9)
             share[worst], share[best] = share[worst] - step, share[best] + step
 
-    def move_in_groups(self, readers, writers, load):
-        """`readers`, `writers`: what each attains by itself."""
-        if self.rows.grouped:
-            busy = 0.15 * (load.work * self.rows.spread(self.pairs.sum(axis=1))) ** 2
-            self.move_inside(self.rows, readers - 0.1 * load.ahead - busy)
-        if self.columns.grouped:
-            used = (load.own + load.streams * self.writer_shares()) / load.memory
-            self.move_inside(self.columns, writers - load.told - 0.4 * used * used)
-
     @staticmethod
     def move_inside(side, score):
-        """One move of weight in each group, from its worst server above the floor to its best."""
+        """One move of weight in each group, from its worst server above the floor to its best. By health and
+        reports alone: what own requests tell of one server is chance here, and would scatter prefixes."""
         low = np.where(side.weight > FLOOR, score, np.inf)
         worst = np.lexsort((low, side.group))[side.starts]
         best = np.lexsort((score, side.group))[side.starts + side.counts - 1]
