--- a/benchmarks/ready.py
+++ b/benchmarks/ready.py
@@ -15,6 +15,7 @@
 from platform_door import SETTINGS  # noqa: E402
 
 from lapiswing.http1 import Pool  # noqa: E402
+from lapiswing.lab.status import StatusOnly  # noqa: E402
 from lapiswing.loop import Clock, Loop, free_ports  # noqa: E402
 from lapiswing.standin.platform import Platform  # noqa: E402
 
@@ -26,23 +27,6 @@
              "group": i % 8, "status": "SERVING", "weight": 1.0, "since_ms": 0} for i in range(count)]
 
 
-class Asked:
-    def __init__(self):
-        self.status = self.over = None
-
-    def on_head(self, status, fields):
-        self.status = status
-
-    def on_body(self, data):
-        pass
-
-    def on_end(self):
-        self.over = True
-
-    def on_fail(self, stage, why):
-        self.over = True
-
-
 def measure(gateways, servers, known, down_s, limit_s=30):
     """`gateways` start at once on one core; discovery says nothing for `down_s`. -> seconds until each is ready."""
     loop = Loop(Clock())
@@ -66,7 +50,7 @@
         loop.call_later(int(down_s * S), setattr, platform.discovery, "silent", False)
         try:
             while len(ready) < gateways and loop.clock.now_us() - began < limit_s * S:
-                asked = {i: Asked() for i in range(gateways) if i not in ready}
+                asked = {i: StatusOnly() for i in range(gateways) if i not in ready}
                 for i, one in asked.items():
                     pool.request(("127.0.0.1", ports[i]), b"GET", b"/-/ready", [], b"", one)
                 loop.run_until(lambda asked=asked: all(a.over for a in asked.values()), S // 2)
--- a/benchmarks/scale/rig.py
+++ b/benchmarks/scale/rig.py
@@ -16,6 +16,7 @@
 from benchmarks.scale.scenario import HOLLOW_GATEWAYS_A_PROCESS, SERVERS_A_PROCESS, FaultKind
 from benchmarks.scale.settings import server_rows
 from lapiswing.http1 import Pool
+from lapiswing.lab.status import StatusOnly
 from lapiswing.loop import Clock, Loop, free_ports
 
 MS, S = 1000, 1_000_000
@@ -157,7 +158,7 @@
         return sum(process.ask("ready") for process in self.gateways)
 
     def real_ready(self):
-        asked = [Asked() for _ in self.ports]
+        asked = [StatusOnly() for _ in self.ports]
         pool = Pool(self.loop)
         for one, port in zip(asked, self.ports):
             pool.request(("127.0.0.1", port), b"GET", b"/-/ready", [], b"", one)
@@ -291,25 +292,6 @@
         self.folder.cleanup()
 
 
-class Asked:
-    """Hears whether a gateway is ready."""
-
-    def __init__(self):
-        self.status = self.over = None
-
-    def on_head(self, status, fields):
-        self.status = status
-
-    def on_body(self, data):
-        pass
-
-    def on_end(self):
-        self.over = True
-
-    def on_fail(self, stage, why):
-        self.over = True
-
-
 def percentiles(histogram):
     if not histogram.get_total_count():
         return None
--- a/tests/platform_door.py
+++ b/tests/platform_door.py
@@ -74,6 +74,17 @@
         """A client's request, sent on a connection of its own."""
         return self.client(head(rid, body, **fields) + body)
 
+    def told_deadlines(self):
+        """-> a list that gets (seconds told, when it came) of each attempt from now on."""
+        told = []
+
+        def record(exchange):
+            if exchange.method == b"POST":
+                told.append((float(exchange.header(b"req-deadline")), self.loop.clock.now_us()))
+        for server in self.platform.servers.values():
+            server.fault = record
+        return told
+
     def settled(self):
         """Nothing is open or held any more."""
         self.until(lambda: not self.core.reqs and not self.node.servers.releasing)
--- a/tests/test_read_then_closed.py
+++ b/tests/test_read_then_closed.py
@@ -96,17 +96,6 @@
     loop.close()
 
 
-def told_deadlines(door):
-    told = []
-
-    def record(exchange):
-        if exchange.method == b"POST":
-            told.append((float(exchange.header(b"req-deadline")), door.loop.clock.now_us()))
-    for server in door.platform.servers.values():
-        server.fault = record
-    return told
-
-
 def in_time(told, asked_us, within_us, slack_us=150 * MS):
     return all(seconds * 1e6 <= asked_us + within_us - at_us + slack_us for seconds, at_us in told)
 
@@ -116,7 +105,7 @@
         door.platform.servers["s-1"].pause_us = 150 * MS
         client = door.ask("a1")
         door.until(lambda: client.status)
-        told, asked_us = told_deadlines(door), door.loop.clock.now_us()
+        told, asked_us = door.told_deadlines(), door.loop.clock.now_us()
         client.send(head("a2", Req_Deadline="2.500") + BODY)
         door.until(lambda: told)
         assert told[0][1] - asked_us > 300 * MS  # it did wait
@@ -128,7 +117,7 @@
     clock = SkippingClock()
     with Door(tmp_path, ("both",), loop=Loop(clock)) as door:
         client = door.ask("a0").whole()
-        told = told_deadlines(door)
+        told = door.told_deadlines()
         asked_us = clock.now_us()
         if kept:
             client.got = b""
@@ -144,7 +133,7 @@
     clock = SkippingClock()
     with Door(tmp_path, ("both",), loop=Loop(clock)) as door:
         data = head("a1", Req_Deadline="3.000") + BODY
-        told, asked_us = told_deadlines(door), clock.now_us()
+        told, asked_us = door.told_deadlines(), clock.now_us()
         client = door.client(data[:100])
         door.until(lambda: any(c.phase == "head" for c in door.node.server.connections))
         clock.skip(700 * MS)
--- a/tests/test_time_told.py
+++ b/tests/test_time_told.py
@@ -14,13 +14,7 @@
     with Door(tmp_path) as door:
         if late:
             monkeypatch.setattr(http1_client, "connect", LateConnect)
-        told = []
-
-        def record(exchange):
-            if exchange.method == b"POST":
-                told.append((float(exchange.header(b"req-deadline")), door.loop.clock.now_us()))
-        for server in door.platform.servers.values():
-            server.fault = record
+        told = door.told_deadlines()
         asked_us = door.loop.clock.now_us()
         client = door.ask("r1", Req_Deadline="2.000")
         assert not client.whole().cut
