--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -15,6 +15,7 @@
 MS = 1000
 REFRESH_US = 250 * MS  # how often, while something is out or new, scores are made anew and shares move
 NEWS = 4  # outcomes that make a refresh worth its cost before a second has passed
+PAIRS_A_NEWS = 1000  # of groups: where they are many, more outcomes make a refresh worth its cost
 FIRST_PAIRS = 200_000  # looked at before the first req
 NEAR = 0.3  # shares above this part of the best are near it
 MEMORY_US = (2000 * MS, 10000 * MS)  # measurements are halved no sooner and no later than this
@@ -109,7 +110,8 @@
         if self.asks and not self.subscribed and self.now >= self.ask_us:
             self.ask_us = self.now + 1000 * MS
             self.out.watch(True)  # not asked yet, the call failed or the subscription broke
-        if self.news >= NEWS or self.now - self.moved_us >= 4 * REFRESH_US:
+        worth = self.table.pairs.size / PAIRS_A_NEWS if self.table.racks_a_group else 0
+        if self.news >= max(NEWS, worth) or self.now - self.moved_us >= 4 * REFRESH_US:
             self.measure(max(1, self.now - self.moved_us))
             self.refresh()
         self.look_for_silence()
--- a/lapiswing/routing/pair_table.py
+++ b/lapiswing/routing/pair_table.py
@@ -7,7 +7,7 @@
 from lapiswing.routing.groups import Racks, Side
 
 SINGLE_PAIRS = 10_000  # of single servers at the most: all that a hundred servers can have
-GROUP_PAIRS = 4_000  # of groups at the most: their sorts take a millisecond
+GROUP_PAIRS = 12_000  # of groups at the most, as many racks as the largest fleets have
 MOVES = 4  # moves of share from worst to best pairs at each refresh
 STEP = 0.7  # share that a pair gives up in one move at the most, against an equal share
 FLOOR = 0.14  # least share of a pair, so that it is met again, against an equal share
@@ -142,10 +142,19 @@
             link = (np.bincount(self.links, (hops * self.pairs).sum(axis=1)) / self.racks)[self.links]
             link = np.clip(link - 0.4, 0.0, 2.0) ** 2  # little used it delays nobody
             score = np.round(fixed - busy[:, None] - 0.4 * used * used - 0.6 * link[:, None] * (hops > 0), 6)
-            order = np.argsort(np.where(self.open > 0, score, -9e9), axis=None, kind="stable")
-            self.move(order, score.reshape(-1), self.pairs.reshape(-1), equal, taking)
+            score = np.where(self.open > 0, score, -9e9).reshape(-1)
+            self.move(self.ends(score, equal, taking), score, self.pairs.reshape(-1), equal, taking)
         self.tell_shares()
 
+    def ends(self, score, equal, taking):
+        """Pairs by score; where they are many only the best, and the worst above the floor."""
+        if not self.racks_a_group or 3 * taking > len(score):
+            return np.argsort(score, kind="stable")
+        low = np.where(self.pairs.reshape(-1) > FLOOR * equal, score, np.inf)
+        best = np.argpartition(score, -taking)[-taking:]
+        ends = np.concatenate((np.argpartition(low, taking)[:taking], best))
+        return ends[np.argsort(score[ends], kind="stable")]
+
     @staticmethod
     def move(order, score, share, equal, taking):
         worst = order[share[order] > FLOOR * equal[order]][:taking]
