The first list is looked at as often as its servers' pairs allow, as before groups

Seen: make test, 1 failed of 1,104: test_the_first_list_costs_no_more_where_pairs_are_many, 12 looks for 500 by 500 servers where 2 are allowed. Cause: level_pairs divided by the pairs of the table, which are few where servers are grouped. The test stays as it is.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -101,7 +101,8 @@
         self.use(ready)
         self.table.arrange(self.readers, self.writers)
         # By what is known without outcomes; less often for many pairs, as nobody is served meanwhile.
-        for _ in range(0 if self.moved_us else min(12, max(2, FIRST_PAIRS // max(1, self.table.pairs.size)))):
+        pairs = max(1, len(self.readers) * len(self.writers))
+        for _ in range(0 if self.moved_us else min(12, max(2, FIRST_PAIRS // pairs))):
             self.refresh()
         self.moved_us = self.moved_us or self.now
 
