Fleet link tests wait for another copy's row instead of finding it at once

Seen: test_a_killed_copy_comes_back... failed in 1 of 12 runs, test_a_copy_whose_folder_was_emptied... in 2 of 5, with a row of another copy missing. Read: link.may_write holds once a majority has spoken on the copy's own rows (learn); rows of others come by comparison, which docs/fleet.md promises within 10 s and nothing sooner. The tests looked at once. They now want the row within those 10 s, which no test asked before; everything else they assert stands.

--- a/tests/test_fleet_host.py
+++ b/tests/test_fleet_host.py
@@ -13,6 +13,7 @@
 from lapiswing.store import Engine, Files, Inline
 
 S = 1_000_000
+HEALED_US = 10 * S  # rows that a copy has missed are with it within this time (docs/fleet.md)
 KEY = "0123456789abcdef"
 BASE = """gateway { name: "gw-a" } group { name: "q" effect: REPLAYABLE } tenant { name: "t" api_key: "k" }
 kind { name: "m" role: BOTH memory_tokens: 1000 } box { id: "127.0.0.1:9" kind: "m" }
@@ -105,7 +106,9 @@
     a = site.start("a")
     assert a.link.id == was and len(a.link.rows.table) == 2 and not a.link.may_write()
     site.until(lambda: a.link.may_write() and site.ready())
-    assert a.link.id == was and a.link.rows.of(site.hosts["b"].link.id)["k"].value == b"3"
+    b = site.hosts["b"].link.id
+    site.until(lambda: a.link.rows.of(b)["k"].value == b"3", HEALED_US)
+    assert a.link.id == was
     assert a.write("k", b"4").version == 2
 
 
@@ -119,6 +122,7 @@
         file.unlink()
     a = site.start("a")
     site.until(site.ready)
+    site.until(lambda: "k" in a.link.rows.of(was), HEALED_US)
     assert a.link.id != was and a.link.rows.of(was)["k"].value == b"1"
     a.write("k", b"2")
     site.until(lambda: all(len(h.link.rows.table) == 2 for h in site.hosts.values()))
