--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -65,7 +65,7 @@
             return
         self.begun = True
         fields = [(b"content-type", content_type), (b"content-length", b"%d" % len(body)), *more]
-        if not self.keep or self.conn.server.closing and not self.conn.heard_more():
+        if not self.keep or self.conn.ends():
             self.keep = False
             fields.append((b"connection", b"close"))
         self.write(response_head(status, fields) + (b"" if self.method == b"HEAD" else body))
@@ -78,7 +78,7 @@
         """Starts an answer of unknown length: chunked, or to a 1.0 client until the connection's end."""
         self.begun = True
         self.chunked = self.version == b"1.1"
-        self.keep = self.keep and not (self.conn.server.closing and not self.conn.heard_more())
+        self.keep = self.keep and not self.conn.ends()
         if self.chunked:
             fields = [*fields, (b"transfer-encoding", b"chunked")]
         else:
@@ -177,7 +177,8 @@
             self.raw.clear()
             self.arrivals.clear()
             self.current.keep = False
-            if self.passed_over > limits.head_bytes + limits.body_bytes:  # more than any one request may be
+            # Past what could have been kept, more than any one request may be.
+            if self.passed_over > limits.pipelined_bytes + limits.head_bytes + limits.body_bytes:
                 self.stream.abort()
 
     def ready_since_us(self):
@@ -305,12 +306,16 @@
             return
         self.current = None
         # A client that was not told of the end (its answer began before) may have sent its next request: that is taken.
-        if not exchange.keep or self.server.closing and not self.heard_more():
+        if not exchange.keep or self.ends():
             return self.close()
         self.enter("idle")
         if self.raw:
             self.server.loop.soon(self.parse_guarded)
 
+    def ends(self):
+        """Whether this answer is the last one: the server stops, and nothing further has come in."""
+        return self.server.closing and not self.heard_more()
+
     def heard_more(self):
         return bool(self.raw) or self.stream.pending()
 
@@ -338,10 +343,10 @@
 
     def give_place(self):
         """Closes at once. A request that is half here is refused, not dropped."""
-        self.in_haste = True
         if self.phase in ("head", "body"):
+            self.in_haste = True
             self.refuse(503, "connections run short")
-        if not self.stream.waiting:
+        elif not self.stream.waiting:  # else the end of its last answer is still on its way to a slow client
             self.stream.abort()
 
     def busy(self):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -105,6 +105,23 @@
         assert door.node.clients + door.node.pool.most_all < 128
 
 
+def test_room_is_not_made_by_cutting_an_answer_that_a_slow_client_still_takes(tmp_path, monkeypatch):
+    with Door(tmp_path, ("both",)) as door:
+        server, = door.platform.servers.values()
+        monkeypatch.setattr(server, "event", lambda number: b'data: {"choices": [], "pad": "%b"}\n\n' % (b"x" * 20_000))
+        client = door.client()
+        client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        door.until(lambda: door.node.server.connections)
+        conn, = door.node.server.connections
+        conn.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        client.send(head("a1") + BODY)
+        door.until(lambda: conn.served and conn.phase == "idle")
+        assert conn.stream.waiting  # the answer's end is not with the kernel yet
+        door.node.server.make_room()
+        assert client.whole().got.endswith(b"0\r\n\r\n") and not client.cut
+        door.settled()
+
+
 @pytest.mark.parametrize("kind", ["say nothing", "asked once"])
 def test_idle_clients_fill_the_table_while_discovery_is_down(tmp_path, kind):
     """A process of its own with the very limit that it is configured for."""
