--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -36,7 +36,7 @@
     fields = router_cost.RouterCost._fields
     click.echo("  ".join(f"{name:>17}" for name in fields))
     for costs in table:
-        spread = [(min(v), sorted(v)[len(v) // 2], max(v)) for v in zip(*costs)]
+        spread = [(min(v), pictures.middle(v), max(v)) for v in zip(*costs)]
         click.echo("  ".join(f"{middle:>17.4g}" for _, middle, _ in spread))
         click.echo("  ".join(f"{f'{least:.3g}-{most:.3g}':>17}" for least, _, most in spread))
     save(out, [[cost._asdict() for cost in costs] for costs in table])
@@ -63,10 +63,12 @@
     save(out, record)
 
 
-def show(costs):
+def report(costs, out):
+    """Prints rows of one kind and keeps them."""
     click.echo("  ".join(f"{name:>24}" for name in costs[0]._fields))
     for cost in costs:
         click.echo("  ".join(f"{value:>24.4g}" for value in cost))
+    save(out, [cost._asdict() for cost in costs])
 
 
 @main.command()
@@ -74,9 +76,7 @@
 @click.option("--out", type=click.Path(path_type=Path), help="Where the record goes, as JSON.")
 def process(sizes, out):
     """One real gateway with nothing to do, by size of the list."""
-    costs = process_cost.slope(sizes)
-    show(costs)
-    save(out, [cost._asdict() for cost in costs])
+    report(process_cost.slope(sizes), out)
 
 
 @main.command()
@@ -84,9 +84,7 @@
 @click.option("--out", type=click.Path(path_type=Path), help="Where the record goes, as JSON.")
 def link(sizes, out):
     """A copy on the fleet link, idle, by number of copies."""
-    costs = link_cost.slope(sizes)
-    show(costs)
-    save(out, [cost._asdict() for cost in costs])
+    report(link_cost.slope(sizes), out)
 
 
 @main.command("tenants")
@@ -94,9 +92,7 @@
 @click.option("--out", type=click.Path(path_type=Path), help="Where the record goes, as JSON.")
 def tenant_shares(gateways, out):
     """What becomes of a tenant that asks for its whole share through few gateways."""
-    costs = [tenants.measure(used) for used in gateways]
-    show(costs)
-    save(out, [cost._asdict() for cost in costs])
+    report([tenants.measure(used) for used in gateways], out)
 
 
 @main.command()
--- a/benchmarks/scale/clients.py
+++ b/benchmarks/scale/clients.py
@@ -27,7 +27,7 @@
     """Hears one answer."""
 
     def __init__(self, clients, asked_us):
-        self.clients, self.asked_us, self.status, self.begun, self.tail = clients, asked_us, None, False, b""
+        self.clients, self.asked_us, self.status, self.begun = clients, asked_us, None, False
 
     def on_head(self, status, fields):
         self.status = status
--- a/benchmarks/scale/fleet.py
+++ b/benchmarks/scale/fleet.py
@@ -15,7 +15,7 @@
 
 from benchmarks.scale.settings import MS, S, router_settings, server_rows
 from benchmarks.scale.target import TARGET
-from lapiswing.lab.coldfleet import bound
+from lapiswing.lab.coldfleet import heaviest
 from lapiswing.policy import Router
 from lapiswing.routing.chance import mixed
 
@@ -384,17 +384,9 @@
         return [one / max(1, sum(tokens)) for one in tokens[:3]]
 
     def cold_worst(self):
-        worst, mean_work_us = 0.0, self.cost_us * MEAN_TOKENS
-        for server in self.servers.values():
-            sent, first, work = server.cold_sent, 0, 0.0
-            for at, w in sent:
-                work += w
-                while sent[first][0] <= at - S:
-                    work -= sent[first][1]
-                    first += 1
-                n = FALL_MULTIPLE * server.level(at - S // 2) * S / mean_work_us
-                worst = max(worst, work / bound(n))
-        return worst
+        mean_work_us = self.cost_us * MEAN_TOKENS
+        return max((heaviest(server.cold_sent, lambda at, server=server: FALL_MULTIPLE * server.level(at - S // 2) * S / mean_work_us)[0]
+                    for server in self.servers.values()), default=0.0)
 
 
 def nearness(one, other):
--- a/lapiswing/lab/coldfleet.py
+++ b/lapiswing/lab/coldfleet.py
@@ -27,6 +27,20 @@
     return n + times * sqrt(n) + times
 
 
+def heaviest(sent, allowed):
+    """-> (part of the bound, work, N) of the window in which a cold server was sent the most against its bound. `sent`:
+    (when, work) in order; `allowed(us)`: N of the window that ends then."""
+    first, work, most = 0, 0.0, (0.0, 0.0, 0.0)
+    for at, w in sent:
+        work += w
+        while sent[first][0] <= at - RULES["overload_for_us"]:
+            work -= sent[first][1]
+            first += 1
+        n = allowed(at)
+        most = max(most, (work / bound(n), work, n))
+    return most
+
+
 class Sink:
     """The writer that one Router is given."""
 
@@ -209,14 +223,9 @@
         window, most = RULES["overload_for_us"], (0.0, None, 0.0, 0.0)
         for server in sorted(self.cold):
             sent = [(at, work) for at, s, work, told in self.arrivals if s == server and told and at >= START_US]
-            first, work = 0, 0.0
-            for at, w in sent:
-                work += w
-                while sent[first][0] <= at - window:
-                    work -= sent[first][1]
-                    first += 1
-                n = RULES["fall_multiple"] * self.rate[server] * window / S * self.level(at - window / 2)
-                most = max(most, (work / bound(n), server, work, n))
+            part, work, n = heaviest(sent, lambda at, server=server: RULES["fall_multiple"] * self.rate[server] * window / S
+                                     * self.level(at - window / 2))
+            most = max(most, (part, server, work, n)) if sent else most
         return most
 
     @property
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -22,6 +22,7 @@
 PRIOR = 2.0  # outcomes' worth of its kind's average in each server's histogram
 HELD_US, TOLD = 5000 * MS, 0.4  # half life of what a writer told of its memory; what a full one takes off
 FULL = 0.8  # told share of memory from which a writer's wait is a queue and no lost answer
+LEAST_BAD, LEAST_SEEN = 0.01, 0.01  # failure score worth carrying over; requests that tell a mean prompt
 LEARNT_US = 600 * 1000 * MS  # figures of an earlier life older than this are not taken up
 COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
 # Part of the time to let go that connections may use to come up, then each so little: a forward is not out
@@ -58,7 +59,8 @@
         self.spare, self.pause_us = 10.0, 1000 * MS  # forwards to spare; between two trials of a suspect
         self.names = settings.get("kinds") or []
 
-    learnt = carry.save  # what a later process may start from
+    def learnt(self):  # what a later process may start from
+        return carry.save(self, LEAST_BAD)
 
     def take_up(self, learnt, age_us):
         """Starts from an earlier process's figures, before the first list; -> a line on what was taken up."""
@@ -392,7 +394,7 @@
     def cold_reader(self, req, at, cold, all_cold, key):
         """The cold reader whose turn it is, or None. What counts there is work: a long prompt's turns are as
         much rarer as it is longer than the mean."""
-        mean = self.mean_besides(req.tokens) or all_cold and req.tokens
+        mean = self.mean_besides(req.tokens, LEAST_SEEN) or all_cold and req.tokens
         long = req.tokens / max(1, mean)
         bearing = [r for r in cold if self.bears(r, long, mean, COLD_LONG if all_cold else 1.0)]
         parts = [min(self.table.share[r.id], 1 / len(self.readers)) for r in bearing]
--- a/lapiswing/routing/carry.py
+++ b/lapiswing/routing/carry.py
@@ -2,17 +2,16 @@
 
 Kinds and groups count by name, so they outlive a move; a server only as the same start of it. Shares, links, waits, texts
 and tenants' shares belong to the old shape and start afresh."""
-BAD_ENOUGH = 0.01  # less of a server's failure score is not worth a row
 MOST = 1 << 62  # of any figure
 
 
-def save(router):
+def save(router, least_bad):
     """-> the lengths of answers, of each kind its read cost and what all gateways together were served by one, of each
-    server its trouble and read cost."""
+    server its trouble and read cost. `least_bad`: of a failure score, that alone is worth a row."""
     kinds = [[name, role, *cost, float(took[0] / took[1]) * router.gateways] for name, (role, _), cost, took
              in zip(router.names, router.kinds, router.kind_cost, router.kind_took)]
     boxes = [[m.id, m.started_us, m.bad, m.read_us, m.read_tokens] for m in router.machines.values()
-             if m.mode == "ready" and (m.bad > BAD_ENOUGH or m.read_tokens)]
+             if m.mode == "ready" and (m.bad > least_bad or m.read_tokens)]
     groups = [[g.name, us] for g, us in zip(router.groups, router.answer_us)]
     return {"groups": groups, "kinds": kinds, "boxes": boxes}
 
--- a/lapiswing/routing/state.py
+++ b/lapiswing/routing/state.py
@@ -101,11 +101,11 @@
         """Of a prompt, lately."""
         return sum(m[1] for m in self.mix) / max(1, sum(m[0] for m in self.mix))
 
-    def mean_besides(self, tokens):
-        """Mean prompt of the requests seen besides one of `tokens`, 0 where there was none: the first one of a
-        process would else count as usual, however long."""
+    def mean_besides(self, tokens, least):
+        """Mean prompt of the requests seen besides one of `tokens`, 0 where there were `least` or fewer: the first one
+        of a process would else count as usual, however long."""
         seen = sum(m[0] for m in self.mix) - 1
-        return max(0, sum(m[1] for m in self.mix) - tokens) / seen if seen > 0.01 else 0
+        return max(0, sum(m[1] for m in self.mix) - tokens) / seen if seen > least else 0
 
     def mode(self, name, on, text):
         """Logs a mode's change once."""
