A log line that can't be written at once is dropped and counted, and stops nothing

Seen: with a log on a full disk (ENOSPC at each line) SIGTERM was heard, Node.stop raised at its first log line, behind 'stopping' being set and before the port's end was scheduled: the port stayed open, requests went on being accepted and the process was there until it was killed. With a pipe whose reader stands still the loop blocked in write for good. Checked: RateLimitedLog and structlog pass what the stream raises; Loop.guard kept the process alive, so that nothing was seen. Ruled out: a fault in stop itself, which runs to its end with a log that can be written. Lines at fault: observe/logs.py, WriteLoggerFactory on the bare stream. Now LogSink: a pipe is asked first whether it takes a line, at most PIPE_BUF bytes of it, whatever is raised is counted, and the count is told later.

--- a/lapiswing/observe/logs.py
+++ b/lapiswing/observe/logs.py
@@ -4,6 +4,8 @@
 
 import structlog
 
+from lapiswing.observe.sink import LogSink
+
 
 def drop_empty(_logger, _method, line):
     return {k: v for k, v in line.items() if v is not None}
@@ -17,5 +19,5 @@
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
                     drop_empty, structlog.processors.format_exc_info, renderer],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.WriteLoggerFactory(sink or sys.stderr))
+        logger_factory=structlog.WriteLoggerFactory(LogSink(sink or sys.stderr)))
     return structlog.get_logger(**bound)
