Signals are heard from the first line on, and a new configuration is never missed at a start

Seen: SIGHUP sent while a process loads (0.3 s on an idle machine, seconds at a tenth of a core) ended it by its default action, status -1: a crash. SIGTERM right behind 'listening' did too, with the port open and connections in its queue. Checked: /proc/PID/status shows no caught signal before Node.run, which called watch_signals after start. A configuration changed between its reading and the loop's handlers was not read again. Early SIGTERM ends with status 0 before it listens.

--- a/lapiswing/node/__main__.py
+++ b/lapiswing/node/__main__.py
@@ -1,12 +1,18 @@
 """python -m lapiswing.node: one gateway of the platform, in the foreground. Exit codes: 0 stopped, 2 a bad
 configuration or an address that can't be listened on."""
-import os
-import sys
+from lapiswing.node.early_signals import EarlySignals
 
-from lapiswing.errors import CantListen, OperatorError
-from lapiswing.node.names import CONFIG
-from lapiswing.node.serve import Node
-from lapiswing.observe import start_logs
+EARLY = EarlySignals()
+if __name__ == "__main__":
+    EARLY.watch()  # before the rest is loaded, which takes a second and more where processors are scarce
+
+import os  # noqa: E402
+import sys  # noqa: E402
+
+from lapiswing.errors import CantListen, OperatorError  # noqa: E402
+from lapiswing.node.names import CONFIG  # noqa: E402
+from lapiswing.node.serve import Node  # noqa: E402
+from lapiswing.observe import start_logs  # noqa: E402
 
 
 def main():
@@ -15,6 +21,9 @@
         return f"{CONFIG} is not set"
     try:
         node = Node(path, start_logs("info"))
+        node.watch_signals()  # before it listens: a signal then must find its handler
+        if EARLY.hung_up:
+            node.loop.soon(node.reload)
         node.start()
     except OSError as problem:
         raise CantListen(f"{path}: listen", problem) from None
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -213,7 +213,7 @@
         self.loop.stop()
 
     def run(self):
-        self.watch_signals()
+        """Serves until a signal stops it; `watch_signals` goes before `start`."""
         # As in `cli.main.run`: what was loaded at start is never garbage.
         gc.collect()
         gc.freeze()
--- a/tests/test_signals_at_start.py
+++ b/tests/test_signals_at_start.py
@@ -30,20 +30,20 @@
 
 
 def is_python(process):
+    """The shell is not the program that `run` starts; the platform's signals go to the latter."""
     return b"lapiswing.node" in Path(f"/proc/{process.pid}/cmdline").read_bytes().split(b"\0")
 
 
-def until_python(process):
-    """The shell is not the program that `run` starts; the platform's signals go to the latter."""
-    while not is_python(process):
-        time.sleep(0.0005)
+def catches(process, number):
+    caught = next(line for line in Path(f"/proc/{process.pid}/status").read_text().splitlines() if line.startswith("SigCgt"))
+    return bool(int(caught.split()[1], 16) >> number - 1 & 1)
 
 
 def test_a_new_configuration_while_the_program_still_loads_does_not_end_it(tmp_path):
     with Door(tmp_path, ("both", "both")) as door:
         process, log, port = started(door, tmp_path)
         try:
-            until_python(process)
+            door.until(lambda: is_python(process))
 
             def listens():
                 process.send_signal(signal.SIGHUP)
@@ -63,10 +63,45 @@
     with Door(tmp_path, ("both", "both")) as door:
         process, log, _ = started(door, tmp_path)
         try:
-            until_python(process)
-            time.sleep(0.05)  # some 50 of 300 ms of loading: anywhere in it will do
+            door.until(lambda: is_python(process) and catches(process, signal.SIGTERM))
             process.send_signal(signal.SIGTERM)
-            assert process.wait(10) == 0
+            door.until(lambda: process.poll() is not None)
+            assert process.returncode == 0
             assert "listening" not in log.read_text()
         finally:
             process.kill()
+
+
+def test_a_configuration_that_changes_right_after_it_was_read_is_not_missed(tmp_path, monkeypatch):
+    """The signal comes in the very moment between reading the file and hearing signals on the loop."""
+    with Door(tmp_path, ("both", "both")) as door:
+        port, = free_ports(1)
+        path = tmp_path / "own.json"
+        path.write_text(json.dumps({**door.config, "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9"}))
+        load, nodes = program.Node.__init__, []
+
+        def loaded(node, *args, **kwargs):
+            load(node, *args, **kwargs)
+            nodes.append(node)
+            path.write_text(json.dumps({**door.config, "listen": f"127.0.0.1:{port}"}))
+            os.kill(os.getpid(), signal.SIGHUP)
+
+        def run(node):
+            end = time.monotonic() + 5
+            while time.monotonic() < end and node.discovery.address[1] == 9:
+                node.loop.turn(50_000)
+        monkeypatch.setattr(program.Node, "__init__", loaded)
+        monkeypatch.setattr(program.Node, "run", run)
+        monkeypatch.setenv("RELAY_CONFIG", str(path))
+        handlers = {number: signal.getsignal(number) for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT,
+                                                                    signal.SIGUSR1)}
+        program.EARLY.watch()  # as the program does first of all
+        try:
+            program.main()
+            assert nodes[0].discovery.address == ("127.0.0.1", int(door.config["discovery"].split(":")[1]))
+        finally:
+            signal.set_wakeup_fd(-1)
+            for number, handler in handlers.items():
+                signal.signal(number, handler)
+            program.EARLY.hung_up = False
+            nodes[0].close()
