The first request of a process has no turn at a cold server, as nothing tells how long it is

Cause, as listed: cold_reader took the prompt's own length for the mean where it had seen no other. Checked: a prior from the settings' targets can't tell it (380 ms by the target for 2,375 ms of work in this mixture). Most first requests had no turn there anyhow (the parts of all cold servers add up to 0.4 at a ramp's begin); now none has. Line at fault: policy.py, cold_reader, 'or all_cold and req.tokens'.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -393,9 +393,12 @@
 
     def cold_reader(self, req, at, cold, all_cold, key):
         """The cold reader whose turn it is, or None. What counts there is work: a long prompt's turns are as
-        much rarer as it is longer than the mean."""
-        mean = self.mean_besides(req.tokens, LEAST_SEEN) or all_cold and req.tokens
-        long = req.tokens / max(1, mean)
+        much rarer as it is longer than the mean. The first request of a process has none: nothing tells how long
+        it is. Could harm where all are cold and no second request comes, by the wait that its client is told."""
+        mean = self.mean_besides(req.tokens, LEAST_SEEN)
+        if not mean:
+            return None
+        long = req.tokens / mean
         bearing = [r for r in cold if self.bears(r, long, mean, COLD_LONG if all_cold else 1.0)]
         parts = [min(self.table.share[r.id], 1 / len(self.readers)) for r in bearing]
         return self.turn_of(at * max(1.0, long), bearing, parts, all_cold, key)
