Errors of system calls by one table: trouble of this machine passes, and blames no server

Seen, by tests that make single calls fail: one ECONNABORTED, EPROTO or ENOBUFS at accept as the port closes reset every connection behind it, requests in them; so did a full table (room is looked for once a turn) and EMFILE. A lasting ENOBUFS at accept spun the loop. ENOBUFS or ENOMEM at one send cut a stream in the middle of an event, at one recv a request. EADDRNOTAVAIL, ENOBUFS, ENOMEM or ENETUNREACH at connect counted as the server's: all became suspects, zones 'lost', and 40 requests with seconds left were rejected. Lines at fault: Listener.accept ('return' on most errors), Stream.read and flush (drop on all), connect.__init__ and ClientExchange ('local' for two errors only). Now loop/errnos.py says whose trouble an error is; a port that closes accepts or turns away all that waits; a stream pauses 10 ms for memory; a connection that can't be opened here is tried again each 20 ms for as long as its attempt may wait (up_us), and the decisions hear that attempts wait for this machine (own_trouble): their ages tell nothing then. Since such a wait may be long, an attempt that has not begun is withdrawn when its server drains or leaves (it began after the grace before: seen red). Ruled out: doing it in the decisions by further attempts, which six attempts would not cover. 22 tests, 21 of them seen red; the table's own is new.

--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -616,11 +616,26 @@
             self.tally.box(row.id).listed(row.started_us)
             self.changed("box", box=row.id, mode=row.mode, why=self.membership.why(row.id))
         self.events.append(news)
+        self.withdraw_unsent()
         if news[1] != "update":
             self.departed = self.kinds.keys() - self.membership.told.keys()
         self.lines.info("boxes", kind=news[1], ready=sum(r.mode == "ready" for r in self.membership.told.values()),
                       rows=[f"{r.id} {r.mode}" for r in news[2]][:20])
 
+    def withdraw_unsent(self):
+        """Attempts that still wait for their connection to a server that drains or has left are rejected in its place:
+        they have not begun, and would begin after the grace. Could harm nothing: each is proved never to have run."""
+        told = self.membership.told
+        for req in list(self.reqs.values()):
+            for number, out in list(req.outs.items()):
+                row = told.get(out.server)
+                if (row is None or row.mode != "ready") and out.forward is not None and out.forward.unsent:
+                    self.take_back(req, number, "full")
+
+    def stuck(self, on):
+        """This machine can open no connection, or can again: the decisions hear of it."""
+        self.events.append(("own_trouble", on))
+
     def forget_departed(self):
         """Drops what is kept of servers that have left, the others once their attempts have ended. Only once the decisions
         have heard of it: an event before the news may still choose one of them."""
--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -13,15 +13,16 @@
     """One request to a server. The handler is told, in this order and nothing after `on_end` or `on_fail`:
         on_head(status, fields)   on_body(bytes)...   on_end()
         on_fail(stage, why)       instead of whatever is still missing
-    Stages: 'local' (this side had no descriptor left for a connection), 'connect' (no connection), 'unsent' (the connection went before the last byte of the request was
-    given to the kernel), 'sent' (after it, no byte of an answer), 'head' (within the answer's head), 'body'.
+    Stages: 'local' (this machine could make no connection: descriptors, ports, memory, routes), 'connect' (no
+    connection), 'unsent' (the connection went before the last byte of the request was given to the kernel), 'sent' (after
+    it, no byte of an answer), 'head' (within the answer's head), 'body'.
     After `cancel()` the handler hears nothing more."""
 
     def __init__(self, pool, address, head, body, handler):
         """`head()` makes the head, as it is written."""
         self.pool, self.address, self.handler = pool, address, handler
         self.head, self.body, self.size = head, body, 0
-        self.connect_us = pool.connect_us
+        self.connect_us = self.wait_us = pool.connect_us
         self.conn = self.connecting = None
         self.over = self.got_head = False
 
@@ -31,6 +32,7 @@
         self.over = True
         if self.connecting is not None:
             self.connecting.cancel()
+            self.pool.unstick(self.connecting)
             self.pool.dropped(self.address)
         elif self.conn is not None:
             self.conn.stream.abort()
@@ -223,12 +225,14 @@
         self.settle_us, self.most_all = settle_us, most_all
         self.idle, self.count, self.line, self.all = {}, {}, {}, set()
         self.opened = self.reused = 0
+        self.stuck, self.on_stuck = set(), None  # connections that this machine can't open just now; told as that changes
         self.sweep_timer = loop.call_later(1_000_000, self.sweep)
 
     def request(self, address, method, target, fields, body, handler, fresh=False, up_us=None, late_fields=None):
         """`address` is (host, port), or a Unix socket's path. With `fresh` no kept connection is used: the answer to a request on a kept one
         that the server closes in the same instant is lost, though it may have run. `up_us`: less time for a new connection
-        than usual. `late_fields()`: further fields, asked for as the head is written, which a new connection may delay."""
+        than usual; while this machine can make none, it is waited for as long. `late_fields()`: further fields, asked for
+        as the head is written, which a new connection may delay."""
         host = b"localhost" if isinstance(address, str) else b"%b:%d" % (address[0].encode(), address[1])
         fields = [(b"host", host), *fields]
         if body or method == b"POST":
@@ -238,7 +242,7 @@
             return request_head(method, target, [*fields, *(late_fields() if late_fields is not None else ())])
         exchange = ClientExchange(self, address, head, body, handler)
         if up_us is not None:
-            exchange.connect_us = min(self.connect_us, up_us)
+            exchange.connect_us, exchange.wait_us = min(self.connect_us, up_us), up_us
         conn = None if fresh else self.rested(address)
         if conn is not None:
             self.reused += 1
@@ -282,16 +286,31 @@
 
         def done(stream, why):
             exchange.connecting = None
+            self.unstick(attempt)
             if stream is None:
                 self.dropped(address)
-                exchange.fail("local" if why is NO_DESCRIPTOR else "connect", why)
+                exchange.fail("local" if attempt.own else "connect", why)
                 return
             self.opened += 1
             conn = ClientConnection(self, address, stream)
             self.all.add(conn)
             conn.start(exchange)
 
-        exchange.connecting = connect(self.loop, address, exchange.connect_us, done)
+        attempt = exchange.connecting = connect(self.loop, address, exchange.connect_us, done, wait_us=exchange.wait_us,
+                                                 on_own=self.note_stuck)
+
+    def note_stuck(self, attempt):
+        if not attempt.own:
+            return self.unstick(attempt)
+        self.stuck.add(attempt)
+        if len(self.stuck) == 1 and self.on_stuck is not None:
+            self.on_stuck(True)
+
+    def unstick(self, attempt):
+        if attempt in self.stuck:
+            self.stuck.remove(attempt)
+            if not self.stuck and self.on_stuck is not None:
+                self.on_stuck(False)
 
     def dropped(self, address):
         self.count[address] -= 1
--- a/lapiswing/interface.py
+++ b/lapiswing/interface.py
@@ -9,6 +9,7 @@
     ("first", id, server, latency_us, forward_no)      the answer has begun
     ("outcome", id, forward_no, server, code, latency_us, ended, remark, report)
     ("place", id, server, forward_no, held)            the answer to hold_place
+    ("own_trouble", on)    whether the host's machine can open no connection: attempts wait, and no server is to blame
     ("client_left", id)  ("timer", token)  ("probed", server, code, latency_us, report)  ("peer", sender, payload)
 
 A report is a dict of figures; `queue` (reqs waiting) and `held` (share of memory held) are read.
--- a/lapiswing/loop/net.py
+++ b/lapiswing/loop/net.py
@@ -4,12 +4,13 @@
 import selectors
 import socket
 
+from lapiswing.loop.errnos import Cause, of_accept, of_connect
 from lapiswing.loop.stream import Stream
 
 BACKLOG = 1024  # connections that the kernel holds ready
 NO_DESCRIPTOR = "connect: no descriptor left here"  # says nothing of whom it was for
-NONE_LEFT = (errno.EMFILE, errno.ENFILE)
 REST_US = 100_000  # a listener's, while not even the spare descriptor is there
+AGAIN_US = 20_000  # between two tries to connect, while this machine can't
 ACCEPTS = 64  # accepted in one turn
 STUCK = 8  # turns without room until what comes is closed
 
@@ -59,46 +60,60 @@
         loop.watch(sock, selectors.EVENT_READ, self.on_ready)
 
     def on_ready(self, _mask):
-        self.accept(ACCEPTS)
+        for _ in range(ACCEPTS):
+            if self.closed or not self.has_room() or not self.accept_one():
+                return
 
     def take_rest(self):
-        """Accepts what has connected by now, for an owner that is about to close: a close resets what waits there."""
-        self.accept(BACKLOG)
-
-    def accept(self, most):
-        for _ in range(most):
-            if self.closed:
-                return
-            if self.open >= self.most and self.make_room is not None:
-                # Once a turn: what was accepted in this one may have its request waiting, and is read before the next.
-                if self.roomed_us == self.loop.now:
-                    return
-                self.roomed_us = self.loop.now
-                self.make_room()
-                self.stuck = self.stuck + 1 if self.open >= self.most else 0
-                if 0 < self.stuck < STUCK:
-                    return
-            try:
-                sock, peer = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+        """Accepts what has connected by now, for an owner that is about to close: a close resets what waits there. What
+        there is no place for is turned away, and no failure costs those behind it."""
+        for _ in range(BACKLOG):
+            if self.closed or not self.accept_one(closing=True):
                 return
-            except OSError as problem:
-                if problem.errno not in NONE_LEFT:
-                    return
-                if not self.accept_and_close():
-                    return self.rest()
-                continue
-            if self.open >= self.most:
-                self.turn_away(sock)
-                continue
-            self.open += 1
-            try:
-                stream = self.make(self.loop, sock, high=self.high, low=self.low)
-            except (OSError, ValueError):  # with TLS: a peer that is gone already
-                sock.close()
-                self.open -= 1
-                continue
-            self.loop.guard(stream, self.on_stream, stream, peer)
+
+    def has_room(self):
+        """Whether to accept now; where all places are taken it looks for some."""
+        if self.open < self.most or self.make_room is None:
+            return True
+        # Once a turn: what was accepted in this one may have its request waiting, and is read before the next.
+        if self.roomed_us == self.loop.now:
+            return False
+        self.roomed_us = self.loop.now
+        self.make_room()
+        self.stuck = self.stuck + 1 if self.open >= self.most else 0
+        return not 0 < self.stuck < STUCK
+
+    def accept_one(self, closing=False):
+        """-> whether to go on. Nothing is put off while `closing`."""
+        try:
+            sock, peer = self.sock.accept()
+        except BlockingIOError:
+            return False
+        except OSError as problem:
+            return self.after_failure(problem, closing)
+        if self.open >= self.most:
+            self.turn_away(sock)
+            return True
+        self.open += 1
+        try:
+            stream = self.make(self.loop, sock, high=self.high, low=self.low)
+        except (OSError, ValueError):  # with TLS: a peer that is gone already
+            sock.close()
+            self.open -= 1
+            return True
+        self.loop.guard(stream, self.on_stream, stream, peer)
+        return True
+
+    def after_failure(self, problem, closing):
+        """-> whether to go on."""
+        cause = of_accept(problem.errno)
+        if cause is Cause.PEER or cause is Cause.OWN_DESCRIPTORS and self.accept_and_close():
+            return True
+        if not closing:
+            self.rest()
+        if cause is Cause.FAULT:
+            raise problem
+        return closing
 
     def accept_and_close(self):
         if self.spare is not None:
@@ -160,27 +175,51 @@
 
 
 class connect:
-    """Opens a connection to (host, port) or a Unix path; then `done(stream, None)` or `done(None, why)`, never from within this call. `make` builds the
-    stream on the connected socket."""
+    """Opens a connection to (host, port) or a Unix path; then `done(stream, None)` or `done(None, why)`, never from within
+    this call. `make` builds the stream on the connected socket. What fails at once for a reason of this machine is tried
+    again for `wait_us`; `own` is then true, and `why` says nothing of the peer. `on_own(self)` is called as `own` changes and
+at the end."""
 
-    def __init__(self, loop, address, timeout_us, done, make=Stream):
-        self.loop, self.done, self.sock, self.make = loop, done, None, make
-        self.timer = None
+    def __init__(self, loop, address, timeout_us, done, make=Stream, wait_us=0, on_own=None):
+        self.loop, self.address, self.timeout_us, self.done, self.make = loop, address, timeout_us, done, make
+        self.on_own = on_own
+        self.until_us = loop.clock.now_us() + max(wait_us, timeout_us)
+        self.sock = self.timer = None
+        self.own = False
+        self.begin()
+
+    def begin(self):
+        host = self.address
+        family = (socket.AF_UNIX if isinstance(host, str) else socket.AF_INET6 if ":" in host[0] else socket.AF_INET)
         try:
-            family = (socket.AF_UNIX if isinstance(address, str) else
-                      socket.AF_INET6 if ":" in address[0] else socket.AF_INET)
             self.sock = socket.socket(family, socket.SOCK_STREAM)
             self.sock.setblocking(False)
-            code = self.sock.connect_ex(address)
+            code = self.sock.connect_ex(host)
         except OSError as problem:
-            loop.soon(self.finish, NO_DESCRIPTOR if problem.errno in NONE_LEFT
-                      else f"connect: {problem.strerror or problem}")
-            return
+            return self.failed(problem.errno, problem.strerror or str(problem))
         if code not in (0, errno.EINPROGRESS):
-            loop.soon(self.finish, f"connect: {os.strerror(code)}")
+            return self.failed(code, os.strerror(code))
+        self.say_own(False)
+        self.loop.watch(self.sock, selectors.EVENT_WRITE, self.on_ready)
+        left_us = max(0, self.until_us - self.loop.clock.now_us())
+        self.timer = self.loop.call_later(min(self.timeout_us, left_us), self.finish, "connect: no answer in time")
+
+    def failed(self, code, text):
+        cause = of_connect(code)
+        self.say_own(cause is not Cause.PEER)
+        if cause is Cause.OWN_MOMENT and self.loop.clock.now_us() + AGAIN_US < self.until_us:
+            if self.sock is not None:
+                self.sock.close()
+                self.sock = None
+            self.timer = self.loop.call_later(AGAIN_US, self.begin)
             return
-        loop.watch(self.sock, selectors.EVENT_WRITE, self.on_ready)
-        self.timer = loop.call_later(timeout_us, self.finish, "connect: no answer in time")
+        self.loop.soon(self.finish, NO_DESCRIPTOR if cause is Cause.OWN_DESCRIPTORS else f"connect: {text}")
+
+    def say_own(self, own):
+        if own != self.own:
+            self.own = own
+            if self.on_own is not None:
+                self.on_own(self)
 
     def on_ready(self, _mask):
         code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -200,6 +239,7 @@
                 stream = self.make(self.loop, self.sock)
             except (OSError, ValueError) as problem:
                 why = f"connect: {problem}"
+                self.say_own(True)
         if stream is not None:
             done(stream, None)
         else:
--- a/lapiswing/loop/secure.py
+++ b/lapiswing/loop/secure.py
@@ -20,6 +20,7 @@
 
 class SecureStream(Stream):
     records = True
+    may_repeat = False  # a record that went out in part can't be made again
     NOT_NOW = (ssl.SSLWantReadError, ssl.SSLWantWriteError, BlockingIOError, InterruptedError)
 
     def __init__(self, loop, sock, owner=None, high=262144, low=65536, context=None, server_side=False):
--- a/lapiswing/loop/stream.py
+++ b/lapiswing/loop/stream.py
@@ -6,7 +6,10 @@
 from collections import deque
 from itertools import islice, takewhile
 
+from lapiswing.loop.errnos import Cause, of_transfer
+
 READ = 65536
+STARVED_US = 10_000  # pause of a stream for whose call the machine had no memory
 LARGE = 32768
 MORE = getattr(socket, "MSG_MORE", 0)
 LINGER_BYTES = 262144  # read and thrown away by a lingering close
@@ -48,10 +51,11 @@
         self.events = 0
         self.linger_us = self.linger_left = 0
         self.lingering = None  # the timer that ends a lingering close
+        self.starved = None  # the timer that ends a pause for want of memory
         self.update()
 
     def update(self):
-        events = (selectors.EVENT_READ if self.reading and not self.ended else 0) | (
+        events = 0 if self.starved is not None else (selectors.EVENT_READ if self.reading and not self.ended else 0) | (
             selectors.EVENT_WRITE if self.blocked else 0)
         if events != self.events and not self.closed:
             self.loop.watch(self.sock, events, self.on_ready)
@@ -65,6 +69,21 @@
         """What comes in next goes straight into `view`; then `owner.on_filled()`, and `on_data` again."""
         self.target = view
 
+    def transfer_failed(self, problem):
+        """What the machine has no memory for is done again after a pause; every other error is the connection's end."""
+        if not self.may_repeat or of_transfer(problem.errno) is not Cause.OWN_MOMENT:
+            return self.drop(f"reset: {problem.strerror}")
+        if self.starved is None:
+            self.starved = self.loop.call_later(STARVED_US, self.try_again)
+        self.update()
+
+    def try_again(self):
+        self.starved = None
+        self.update()
+        self.loop.guard(self, self.flush)
+
+    may_repeat = True  # whether a call that failed may be made again with the same bytes
+
     def pause(self):
         self.reading = False
         self.update()
@@ -93,7 +112,7 @@
             except self.NOT_NOW:
                 return
             except OSError as problem:
-                return self.drop(f"reset: {problem.strerror}")
+                return self.transfer_failed(problem)
             self.moved_us = self.loop.now
             if data is None:
                 self.received += size
@@ -167,7 +186,7 @@
         return self.sock.send(b"".join(takewhile(lambda part: not isinstance(part, FilePart), islice(out, 64))))
 
     def flush(self):
-        if self.closed or self.blocked:
+        if self.closed or self.blocked or self.starved is not None:
             return
         out = self.out
         while out:
@@ -177,7 +196,7 @@
                 self.blocked = True
                 break
             except OSError as problem:
-                return self.drop(f"reset: {problem.strerror}")
+                return self.transfer_failed(problem)
             if not done:  # a file that has become shorter while it is being sent: what was promised can't come
                 return self.drop("file ended early")
             self.moved_us = self.loop.now
@@ -236,8 +255,9 @@
         if self.closed:
             return
         self.closed = True
-        if self.lingering is not None:
-            self.lingering.cancel()
+        for timer in (self.lingering, self.starved):
+            if timer is not None:
+                timer.cancel()
         self.loop.watch(self.sock, 0, None)
         self.loop.dirty.discard(self)
         self.sock.close()
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -220,6 +220,8 @@
         """What a silent server holds, or later forwards have far overtaken there, is as good as lost: reads
         have no effect, and writes are taken back where a repeat does no harm. Guards against messages that
         vanish anywhere, and one stuck slot; could harm where a server answers out of order by habit."""
+        if self.own_trouble:
+            return self.forgive_waits()
         known = self.reads.sum() >= LATE_READS * len(self.readers)
         suspects = sum(m.suspect and m.mode == "ready" for m in self.machines.values())
         listed = len({*self.table.rows.at, *self.table.columns.at})
@@ -653,4 +655,15 @@
         if not req.out:
             self.let_go(req)
 
+    def on_own_trouble(self, on):
+        self.own_trouble = on
+        self.mode("no connection can be opened here", on, "attempts wait for one")
+        self.forgive_waits()
+
+    def forgive_waits(self):
+        """What has waited for this machine tells nothing of its server. Guards against moving all attempts at once,
+        and rejecting what still has time; could harm where a server hangs too, by the time that this lasts."""
+        for machine in self.machines.values():
+            machine.waiting = {key: (self.now, writing) for key, (_, writing) in machine.waiting.items()}
+
     on_place = on_probed = on_peer = lambda self, *fields: None  # this module asks for none of them
--- /dev/null
+++ b/tests/test_errno.py
@@ -0,0 +1,208 @@
+"""System calls that fail for a moment, for reasons of the own machine."""
+import errno
+import os
+import socket
+
+import pytest
+from platform_door import BODY, Door, Quiet, head
+
+from lapiswing.loop import errnos, net
+from lapiswing.loop import Clock, Listener, Loop, listen_socket
+
+MS, S = 1000, 1_000_000
+
+
+class Failing:
+    """A socket whose named calls raise, one error a call, in this order, before they work again."""
+
+    def __init__(self, sock, **errors):
+        self.sock, self.errors = sock, {name: list(codes) for name, codes in errors.items()}
+
+    def __getattr__(self, name):
+        if self.errors.get(name):
+            code = self.errors[name].pop(0)
+
+            def fail(*_args):
+                raise OSError(code, os.strerror(code))
+            return fail
+        return getattr(self.sock, name)
+
+
+def listening(loop, most=100):
+    seen = []
+    listener = Listener(loop, listen_socket("127.0.0.1", 0), lambda stream, peer: (
+        seen.append(stream), setattr(stream, "owner", Quiet())), most=most)
+    return listener, seen
+
+
+MOMENTARY = ("ECONNABORTED", "EPROTO", "ENETDOWN", "EHOSTUNREACH", "EPERM", "ENOBUFS", "ENOMEM")
+
+
+@pytest.mark.parametrize("name", MOMENTARY)
+def test_one_failed_accept_costs_none_of_the_connections_behind_it_as_the_port_closes(name):
+    loop = Loop(Clock())
+    listener, seen = listening(loop)
+    clients = [socket.create_connection(listener.address) for _ in range(3)]
+    code = getattr(errno, name)
+    listener.sock = Failing(listener.sock, accept=[code, code])
+    listener.take_rest()
+    listener.close()
+    assert len(seen) == 3
+    for client in clients:
+        client.close()
+    loop.close()
+
+
+@pytest.mark.parametrize("name", ["EMFILE", "ENFILE"])
+def test_what_waits_is_answered_as_the_port_closes_where_no_descriptor_is_left(name):
+    """The spare descriptor serves for a refusal; a lack that passes costs none behind it."""
+    loop, code = Loop(Clock()), getattr(errno, name)
+    listener, seen = listening(loop)
+    clients = [socket.create_connection(listener.address) for _ in range(4)]
+    listener.sock = Failing(listener.sock, accept=[code, code, code])
+    listener.take_rest()
+    listener.close()
+    assert len(seen) + listener.refused == 4 and len(seen) >= 2
+    for client in clients:
+        client.close()
+    loop.close()
+
+
+def test_what_waits_is_answered_as_the_port_closes_where_the_table_is_full(tmp_path):
+    """Room is looked for once a turn only; what has no place is refused, and not reset by the port's end."""
+    with Door(tmp_path, ("both", "both")) as door:
+        door.node.listener.most = 4
+        kept = [door.ask(f"a{i}").whole() for i in range(4)]
+        late = [door.ask(f"b{i}") for i in range(3)]
+        door.node.listener.roomed_us = door.loop.now
+        door.node.stop()
+        door.node.close_port()
+        for client in late:
+            client.whole()
+        assert [client.status for client in late] == [503] * 3
+        for client in kept:
+            client.close()
+
+
+def test_accepts_that_fail_for_long_do_not_spin():
+    loop = Loop(Clock())
+    listener, seen = listening(loop)
+    client = socket.create_connection(listener.address)
+    real, listener.sock = listener.sock, Failing(listener.sock, accept=[errno.ENOBUFS] * 10_000)
+    loop.run_until(lambda: False, 350 * MS)
+    assert loop.turns < 60
+    listener.sock = real
+    assert loop.run_until(lambda: seen, S)
+    client.close()
+    listener.close()
+    loop.close()
+
+
+@pytest.mark.parametrize("name", ["ENOBUFS", "ENOMEM"])
+def test_an_event_that_the_machine_has_no_memory_for_goes_out_a_moment_later(tmp_path, name):
+    with Door(tmp_path, ("both", "both")) as door:
+        client = door.client()
+        door.until(lambda: door.node.server.connections)
+        conn, = door.node.server.connections
+        client.send(head("a1") + BODY)
+        door.until(lambda: conn.stream.sent)
+        conn.stream.sock = Failing(conn.stream.sock, send=[getattr(errno, name)] * 3, sendmsg=[getattr(errno, name)])
+        assert client.whole().status == 200 and not client.cut and not client.closed
+        door.settled()
+
+
+@pytest.mark.parametrize("name", ["ENOBUFS", "ENOMEM"])
+def test_a_read_that_the_machine_has_no_memory_for_is_tried_again(tmp_path, name):
+    with Door(tmp_path, ("both", "both")) as door:
+        client = door.client()
+        door.until(lambda: door.node.server.connections)
+        conn, = door.node.server.connections
+        conn.stream.sock = Failing(conn.stream.sock, recv=[getattr(errno, name)] * 3)
+        client.send(head("a1") + BODY)
+        assert client.whole().status == 200
+        door.settled()
+
+
+class Ports:
+    """While `short` is an error, no connection can be opened from this machine."""
+
+    def __init__(self, monkeypatch, code):
+        self.code = code
+        ports, real = self, socket.socket
+
+        class Socket(real):
+            def connect_ex(self, address):
+                return ports.code or super().connect_ex(address)
+        monkeypatch.setattr(net.socket, "socket", Socket)
+
+
+def remembered(router):
+    return {m.id: (round(m.bad, 6), m.suspect) for m in router.machines.values()}, dict(router.lost), router.failing
+
+
+@pytest.mark.parametrize("name", ["EADDRNOTAVAIL", "ENOBUFS", "ENETUNREACH", "ENOMEM"])
+def test_while_no_connection_can_be_opened_here_requests_wait_and_no_server_is_blamed(tmp_path, monkeypatch, name):
+    with Door(tmp_path, ("read", "read", "write", "write")) as door:
+        assert door.ask("a0").whole().status == 200
+        door.settled()
+        for conn in list(door.node.pool.all):
+            conn.stream.abort()
+        ports, before = Ports(monkeypatch, getattr(errno, name)), remembered(door.core.router)
+        clients = [door.ask(f"b{i}") for i in range(40)]
+        door.until(lambda: len(door.core.reqs) == 40)
+        door.loop.run_until(lambda: False, 600 * MS)
+        assert not any(client.look() for client in clients)  # none is rejected while it has time
+        assert remembered(door.core.router) == before
+        ports.code = None
+        for client in clients:
+            assert client.whole().status == 200 and not client.cut
+        assert remembered(door.core.router)[:2] == before[:2]
+        door.settled()
+
+
+def test_what_can_not_be_sent_from_here_in_its_time_is_rejected_and_releases_its_state(tmp_path, monkeypatch):
+    """The trouble begins between prefill and decode: the state may not be held for longer than its time."""
+    with Door(tmp_path, ("read", "write")) as door:
+        ports = Ports(monkeypatch, None)
+        reader = door.platform.servers["s-1"]
+        client = door.ask("a1")
+        door.until(lambda: reader.seen)
+        ports.code = errno.EADDRNOTAVAIL
+        for conn in list(door.node.pool.all):
+            if conn.exchange is None:
+                conn.stream.abort()
+        assert client.whole().status == 503
+        assert door.loop.clock.now_us() - reader.seen_us[0] < 800 * MS
+        ports.code = None
+        door.settled()
+
+
+def test_an_attempt_that_waits_for_a_connection_is_withdrawn_when_its_server_drains(tmp_path, monkeypatch):
+    with Door(tmp_path, ("both",)) as door:
+        old, = door.platform.servers.values()
+        door.until(lambda: door.platform.discovery.waiting)
+        ports = Ports(monkeypatch, errno.EADDRNOTAVAIL)
+        client = door.ask("a1")
+        door.until(lambda: door.core.reqs and door.core.reqs["a1"].outs)
+        new = door.platform.add("both")
+        old.status = "DRAINING"
+        door.platform.discovery.tell(old.row(), new.row())
+        door.until(lambda: new.name in door.node.rows.rows)
+        ports.code = None
+        assert client.whole().status == 200
+        assert [row[0] for row in door.platform.seen(b"POST")] == [new.name]
+        assert not door.core.router.lost
+        door.settled()
+
+
+def test_the_tables_name_every_error_of_the_manual_pages():
+    """accept(2), connect(2) and socket(2), without those that a program's own mistakes give and what Python repeats itself."""
+    accept = {"ECONNABORTED", "EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO", "EPERM", "ENETDOWN", "ENOPROTOOPT",
+              "EHOSTDOWN", "ENONET", "EHOSTUNREACH", "EOPNOTSUPP", "ENETUNREACH"}
+    assert not [name for name in accept if getattr(errno, name) not in errnos.ACCEPT]
+    own = {"EACCES", "EPERM", "EADDRINUSE", "EADDRNOTAVAIL", "EAFNOSUPPORT", "EAGAIN", "ENETUNREACH", "EMFILE", "ENFILE",
+           "ENOBUFS", "ENOMEM", "EPROTONOSUPPORT"}
+    assert not [name for name in own if errnos.of_connect(getattr(errno, name)) is errnos.Cause.PEER]
+    peer = {"ECONNREFUSED", "ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"}
+    assert {errnos.of_connect(getattr(errno, name)) for name in peer} == {errnos.Cause.PEER}
+    assert {errnos.of_transfer(getattr(errno, name)) for name in peer | {"EPIPE"}} == {errnos.Cause.PEER}
