A repeat keeps clear of its window's end, and its connection comes up inside it

Lines at fault: policy.py, may_forward and send. Now 200 ms are kept clear and up_us ends there too. Could harm: windows under 200 ms allow no repeat at all.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -22,6 +22,8 @@
 PRIOR = 2.0  # outcomes' worth of its kind's average in each server's histogram
 HELD_US, TOLD = 5000 * MS, 0.4  # half life of what a writer told of its memory; what a full one takes off
 FULL = 0.8  # told share of memory from which a writer's wait is a queue and no lost answer
+# What a repeat keeps clear of its window's end: a gateway that is held up between its clock and its write, and the way.
+WINDOW_CLEAR_US = 200 * MS
 LEAST_BAD, LEAST_SEEN = 0.01, 0.01  # failure score worth carrying over; requests that tell a mean prompt
 LEARNT_US = 600 * 1000 * MS  # figures of an earlier life older than this are not taken up
 COLD_PART = 0.6  # part used of what the rule lets a cold server be sent
@@ -485,8 +487,18 @@
         g = self.groups[req.group]
         alike = {"zone": lambda m: m.zone, "cell": lambda m: m.cell}.get(g.repeat_scope, lambda m: 0)
         return g.effect == "replayable" or not req.ran or g.effect == "keyed" and all(
-            self.now - sent <= g.repeat_window_us - 50 * MS and alike(first) == alike(machine)
-            for first, sent in req.ran)
+            self.window_left(g, sent) >= 0 and alike(first) == alike(machine) for first, sent in req.ran)
+
+    def window_left(self, group, sent_us):
+        """Time in which a repeat of an attempt sent then may still begin."""
+        return sent_us + group.repeat_window_us - WINDOW_CLEAR_US - self.now
+
+    def up_within(self, req):
+        """In what time an attempt's connection has to be up: for a state that is held, and for a repeat's window."""
+        g, left = self.groups[req.group], req.up_by - self.now
+        if g.effect == "keyed":
+            left = min([left] + [self.window_left(g, sent) for _, sent in req.ran])
+        return max(LEAST_UP_US, left)
 
     def may_push_back(self, req):
         g = self.groups[req.group]
@@ -496,6 +508,7 @@
         number, ahead = len(req.forwards), machine.out_tokens + req.fresh if stage != "write" else 0
         req.forwards.append([machine, stage, self.now, True, req.fresh, ahead])
         req.out += 1
+        up_us = self.up_within(req)
         if stage != "read":
             req.ran.append((machine, self.now))
             machine.stream_tokens += req.tokens
@@ -505,7 +518,7 @@
         if machine.suspect:
             machine.trial_us = self.now + self.pause_us
         self.out.forward(req.id, machine.id, max(MS, req.expires - self.now - self.margin_us),
-                         max(LEAST_UP_US, req.up_by - self.now))
+                         up_us)
 
     def give_up(self, req, come_back_us=1 << 40):
         """The final answer at once, and whatever is held let go."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -532,3 +532,19 @@
     for rid in range(20, 40):
         play.at(50 + rid, play.req(rid, prefix=f"c:{rid}"))
     assert any(zone[line[2]] == 1 for line in play.sent())
+
+
+@pytest.mark.parametrize("after_ms, up_ms", [(1000, 3800), (4700, 100), (4850, None), (4940, None)])
+def test_a_repeat_is_written_inside_the_window_though_its_connection_comes_up_late(after_ms, up_ms):
+    """Seen in the reading: a repeat was sent up to 50 ms before the window's end, and its connection had 250 ms and more to
+    come up; a gateway may also be held up for 150 ms between reading its clock and writing."""
+    play = Play("keyed", "all", servers=("r0", "w1", "w2"))
+    play.at(10, play.req(1, expires_ms=9000))
+    play.at(20, play.outcome(1, 0, "r0", "read", 10))
+    first = play.sent()[-1][2]
+    play.at(20 + after_ms, play.outcome(1, 1, first, "reset", after_ms))
+    again = play.sent()[2:]
+    if up_ms is None:
+        assert not again
+    else:
+        assert len(again) == 1 and int(again[0][4]) <= up_ms * MS
