A server's start is placed once, on the side that breaks no rule where a wall clock is wrong

Read, then tests: with this machine's wall clock an hour (or 5 s) ahead at the process's start a server that had started a second before counted as warm, against the cold servers' rule; an hour behind, as cold for an hour and more. Line at fault: node/serve.py, started_us, which took the clock of that one moment for right. Now membership/starts.py places each start once: in the future, or before the last answer that did not name it, is now; in a first list the newest start may be now and the others are as much older as the list says. loop/wall_clock.py is the only reader of that clock in what a gateway of the platform loads, held by a test over the sources. Tests that make Rows by hand give it a ServerStarts.

--- a/lapiswing/node/discovery.py
+++ b/lapiswing/node/discovery.py
@@ -59,8 +59,9 @@
     nothing. A server whose own row can't be read gets nothing new, as if it had left: it may be draining.
     `faults` tells of such rows."""
 
-    def __init__(self, kinds, zones, started_us):
-        self.kinds, self.zones, self.started_us = kinds, zones, started_us
+    def __init__(self, kinds, zones, starts):
+        """`starts`: a ServerStarts."""
+        self.kinds, self.zones, self.starts = kinds, zones, starts
         self.index, self.rows, self.addresses, self.faults, self.told = None, {}, {}, [], []
 
     def row(self, e):
@@ -69,11 +70,11 @@
         if e.status not in MODES:
             raise ValueError(f"unknown status {e.status!r} of {e.name}")
         zone = self.zones.index(e.zone) if e.zone in self.zones else len(self.zones)
-        return Server(e.name, zone, e.group, self.kinds.index(e.type), e.weight, self.started_us(e.since_ms),
-                      MODES[e.status])
+        self.starts.by_clock(e.since_ms)  # raises on what is no moment
+        return Server(e.name, zone, e.group, self.kinds.index(e.type), e.weight, 0, MODES[e.status])
 
-    def take(self, targets):
-        rows, addresses, lost, faults = [], {}, [], []
+    def take(self, targets, now_us):
+        rows, addresses, sinces, lost, faults = [], {}, {}, [], []
         for raw in targets.endpoints:
             try:
                 endpoint = ROW.decode(raw)
@@ -86,10 +87,12 @@
                     pass  # it is not told whose row it is
                 continue
             rows.append(row)
-            addresses[row.id] = address
+            addresses[row.id], sinces[row.id] = address, endpoint.since_ms
         if faults and not rows and targets.snapshot:
             raise ValueError(faults[0])
         self.faults = faults
+        started = self.starts.place(sinces, now_us)
+        rows = [row._replace(started_us=started[row.id]) for row in rows]
         if targets.snapshot:
             self.rows, self.addresses = {}, {}
         for row in rows:
@@ -181,7 +184,7 @@
             if status != 200:
                 raise ValueError(f"status {status}")
             targets = DECODER.decode(body)
-            self.rows.take(targets)
+            self.rows.take(targets, self.loop.clock.now_us())
         except (ValueError, msgspec.MsgspecError) as problem:
             return self.failed(call, f"can't be read: {problem}")
         self.late_us, self.refused = self.usual_late_us, 0
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -2,7 +2,6 @@
 import gc
 import resource
 import signal
-import time
 from typing import NamedTuple
 
 import msgspec
@@ -11,8 +10,9 @@
 from lapiswing.gateway.core import Core
 from lapiswing.http1 import Limits as HttpLimits
 from lapiswing.http1 import Pool, Server
-from lapiswing.loop import Clock, Listener, Loop, address_of, listen_socket
+from lapiswing.loop import Clock, Listener, Loop, address_of, listen_socket, wall_clock
 from lapiswing.membership import Membership
+from lapiswing.membership.starts import ServerStarts
 from lapiswing.node import config as configs
 from lapiswing.node import view
 from lapiswing.node.discovery import DECODER, Discovery, Rows
@@ -101,7 +101,6 @@
         self.pool = Pool(self.loop, to_servers, max(4, to_servers // 16), idle_us * 6 // 10,
                          limits.get("connect_timeout_us") or 250 * MS, settle_us=20 * MS, most_all=to_servers)
         self.asking = Pool(self.loop, 4, 1, 60_000 * MS, 1000 * MS)
-        self.offset_us = self.loop.clock.now_us() - time.time_ns() // 1000
         report = settings.get("report") or {}
         self.servers = Servers(
             self.loop, self.pool, report.get("names") or [], bool(report.get("names")),
@@ -116,7 +115,7 @@
             self.log, router)
         self.core.line_each = False
         self.pool.on_stuck = self.core.stuck
-        self.rows = Rows(settings["kinds"], settings["zones"], self.started_us)
+        self.rows = Rows(settings["kinds"], settings["zones"], ServerStarts(wall_clock.offset_us(self.loop.clock)))
         tenants = [str(tenant.get("name")) for tenant in settings.get("tenants") or []]
         self.front = Front(self.core, settings["groups"], tenants, lambda: bool(self.rows.rows) and not self.stopping)
         self.server = Server(self.loop, self.front.app, HttpLimits(
@@ -126,9 +125,6 @@
         self.listener = self.discovery = None
         self.stopping, self.stopped_us = False, 0
 
-    def started_us(self, unix_ms):
-        return max(1, round(unix_ms * MS) + self.offset_us) if unix_ms else 0
-
     def start(self):
         """Raises OSError where it can't listen."""
         self.take_known()
@@ -148,7 +144,7 @@
         if self.config.known is None:
             return
         try:
-            self.rows.take(DECODER.decode(msgspec.json.encode(self.config.known)))
+            self.rows.take(DECODER.decode(msgspec.json.encode(self.config.known)), self.loop.clock.now_us())
         except (ValueError, msgspec.MsgspecError) as problem:
             return self.log.warning("known list can't be read", why=str(problem))
         self.rows.tell(self.log)
--- a/tests/test_crossing_news.py
+++ b/tests/test_crossing_news.py
@@ -11,7 +11,7 @@
     row = door.platform.remove(server)
     known = door.platform.discovery.whole()
     known["endpoints"] = [e for e in known["endpoints"] if e["name"] != row["name"]]
-    door.node.rows.take(DECODER.decode(msgspec.json.encode(known)))
+    door.node.rows.take(DECODER.decode(msgspec.json.encode(known)), door.loop.clock.now_us())
     door.node.on_rows()
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,6 +7,7 @@
 from platform_door import Door, Quiet
 
 from lapiswing.loop import Loop, ManualClock
+from lapiswing.membership.starts import ServerStarts
 from lapiswing.node.discovery import (AGAIN_US, ASKED_WAIT_MS, LATE_US, MOST_LATE_US, MOST_REFUSED_US, WAIT_MS,
                                       Discovery, Rows)
 
@@ -99,7 +100,7 @@
 class Played:
     def __init__(self, asked=False):
         self.loop = Loop(ManualClock())
-        self.heard, self.rows = [], Rows(["read", "write", "both"], ["a"], lambda ms: 0)
+        self.heard, self.rows = [], Rows(["read", "write", "both"], ["a"], ServerStarts(0))
         self.pool = Scripted(self.loop, [])
         self.discovery = Discovery(self.loop, self.pool, ("127.0.0.1", 1), self.rows, self.on_rows, self, asked)
         self.until(lambda: self.rows.rows, S)
@@ -263,7 +264,7 @@
     loop = Loop(ManualClock())
     discovery, gateways = Overloaded(loop), []
     for seed in range(60):
-        rows = Rows(["read", "write", "both"], ["a"], lambda ms: 0)
+        rows = Rows(["read", "write", "both"], ["a"], ServerStarts(0))
         gateways.append(Discovery(loop, discovery, ("127.0.0.1", 1), rows, lambda: None, Quiet(), asked=True, seed=seed))
 
     def all_are(mode):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -20,6 +20,7 @@
 from lapiswing.node import servers as node_servers
 from lapiswing.node import view
 from lapiswing.node.config import checked, load
+from lapiswing.membership.starts import ServerStarts
 from lapiswing.node.discovery import DECODER, WAIT_MS, Rows
 from lapiswing.node.outcomes import load_of, of_failure, of_status
 from lapiswing.policy import Router
@@ -568,16 +569,16 @@
     endpoint("bad", group="x"), endpoint("bad", since_ms="today"), {"name": "bad"}])
 def test_a_row_that_can_not_be_read_costs_that_one_alone(bad):
     """The others of the list stand as told; a server whose own row can't be read gets nothing new."""
-    rows, log = Rows(["read"], ["a"], int), Quiet()
-    rows.take(rows_of(endpoint("s-1"), endpoint("bad"), endpoint("s-2")))
-    rows.take(rows_of(bad, endpoint("s-2", status="DRAINING"), endpoint("s-3"), index=6, snapshot=False))
+    rows, log = Rows(["read"], ["a"], ServerStarts(0)), Quiet()
+    rows.take(rows_of(endpoint("s-1"), endpoint("bad"), endpoint("s-2")), 1)
+    rows.take(rows_of(bad, endpoint("s-2", status="DRAINING"), endpoint("s-3"), index=6, snapshot=False), 1)
     assert {name: row.mode for name, row in rows.rows.items()} == {"s-1": "ready", "s-2": "draining", "s-3": "ready"}
     rows.tell(log)
-    rows.take(rows_of(bad, endpoint("s-1"), index=7))
+    rows.take(rows_of(bad, endpoint("s-1"), index=7), 1)
     rows.tell(log)
     assert list(rows.rows) == ["s-1"] and len(log.lines) == 1 and log.lines[0][1]["count"] == 1
     with pytest.raises(ValueError):
-        rows.take(rows_of(bad, index=8))
+        rows.take(rows_of(bad, index=8), 1)
     assert list(rows.rows) == ["s-1"] and rows.index == 7
 
 
@@ -598,7 +599,7 @@
 
 def test_lists_of_1100_servers_and_1100_gateways_are_taken_changed_and_replaced():
     """No cap below 1,024 on either, in bounded time."""
-    rows, members, out = Rows(["read", "write", "both"], ["a", "b"], int), Membership(), Recorder()
+    rows, members, out = Rows(["read", "write", "both"], ["a", "b"], ServerStarts(0)), Membership(), Recorder()
     router = Router(7, checked("config.json", {**SETTINGS, "Balancers": 1100}), 0)
 
     def some(first, many, **more):
@@ -607,7 +608,7 @@
     for step, (endpoints, snapshot) in enumerate([
             (some(0, 1100), True), (some(0, 40, status="DRAINING"), False), (some(2000, 1100), True)]):
         now, before = (step + 1) * S, time.process_time()
-        rows.take(rows_of(*endpoints, index=step, snapshot=snapshot))
+        rows.take(rows_of(*endpoints, index=step, snapshot=snapshot), 1)
         router.round(now, [members.list(list(rows.rows.values()), now)], out)
         for n in range(3):
             router.round(now, [("req", f"{step}.{n}", 900, now + 5 * S, f"k{n}", None, 0, 200, None, 0, 0, 0)], out)
--- /dev/null
+++ b/tests/test_server_starts.py
@@ -0,0 +1,109 @@
+"""Slow start on machines whose wall clock was stepped: no server is taken for warmer than it can be."""
+import ast
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from platform_door import Door
+
+MS, S = 1000, 1_000_000
+HOUR_S = 3600
+
+
+@pytest.fixture
+def step(monkeypatch):
+    """Steps the wall clock of this process by so many seconds; the monotonic one runs on."""
+    real, by = time.time_ns, [0.0]
+    monkeypatch.setattr(time, "time_ns", lambda: real() + round(by[0] * 1e9))
+    return lambda seconds: by.__setitem__(0, seconds)
+
+
+def unix_ms():
+    """What the other machines' clocks show."""
+    return time.clock_gettime_ns(time.CLOCK_REALTIME) // 1_000_000
+
+
+def cold_for_us(door, server):
+    """How long a server is held for cold from now on, at the most."""
+    machine = door.core.router.machines[server.name]
+    left = machine.started_us + door.core.router.cold_us - door.loop.clock.now_us()
+    return max(0, left) if machine.started_us else 0
+
+
+@pytest.mark.parametrize("seconds", [HOUR_S, -HOUR_S, 5, -5])
+@pytest.mark.parametrize("fleet", ["one", "all"])
+def test_a_server_that_has_just_started_is_cold_in_the_list_of_a_start_on_a_stepped_machine(tmp_path, step, monkeypatch,
+                                                                                           seconds, fleet):
+    from lapiswing.standin import platform
+    begun = platform.ModelServer.__init__
+
+    def just_started(server, *args, **kwargs):
+        begun(server, *args, **kwargs)
+        if fleet == "all" or server.name == "s-2":
+            server.since_ms = unix_ms() - 1000
+    monkeypatch.setattr(platform.ModelServer, "__init__", just_started)
+    step(seconds)
+    with Door(tmp_path, ("both", "both", "both")) as door:
+        ramp = door.core.router.cold_us
+        for server in door.platform.servers.values():
+            new = fleet == "all" or server.name == "s-2"
+            assert ramp - 1200 * MS <= cold_for_us(door, server) <= ramp if new else not cold_for_us(door, server)
+
+
+@pytest.mark.parametrize("seconds", [HOUR_S, -HOUR_S, 60, 0])
+def test_a_server_that_starts_later_is_cold_for_one_ramp(tmp_path, step, seconds):
+    step(seconds)
+    with Door(tmp_path, ("both", "both")) as door:
+        door.until(lambda: door.platform.discovery.waiting)
+        server = door.platform.servers["s-1"]
+        server.since_ms = unix_ms()
+        door.platform.discovery.tell(server.row())
+        door.until(lambda: cold_for_us(door, server))
+        assert door.core.router.cold_us - 300 * MS <= cold_for_us(door, server) <= door.core.router.cold_us
+
+
+@pytest.mark.parametrize("seconds", [HOUR_S, -HOUR_S])
+def test_a_step_while_the_process_runs_moves_no_start(tmp_path, step, seconds):
+    with Door(tmp_path, ("both", "both")) as door:
+        door.until(lambda: door.platform.discovery.waiting)
+        server, other = door.platform.servers.values()
+        server.since_ms = unix_ms()
+        door.platform.discovery.tell(server.row())
+        door.until(lambda: cold_for_us(door, server))
+        placed = door.core.router.machines[server.name].started_us
+        step(seconds)
+        other.status = "DRAINING"
+        door.platform.discovery.tell(server.row(), other.row())
+        door.until(lambda: door.core.router.machines[other.name].mode == "draining")
+        assert door.core.router.machines[server.name].started_us == placed
+
+
+def test_servers_that_started_a_ramp_before_the_newest_are_warm_whatever_the_clock_shows(tmp_path, step, monkeypatch):
+    from lapiswing.standin import platform
+    begun = platform.ModelServer.__init__
+
+    def old(server, *args, **kwargs):
+        begun(server, *args, **kwargs)
+        server.since_ms = unix_ms() - {"s-1": 600_000, "s-2": 20_000, "s-3": 6_000}[server.name]
+    monkeypatch.setattr(platform.ModelServer, "__init__", old)
+    step(HOUR_S)
+    with Door(tmp_path, ("both", "both", "both")) as door:
+        one, two, three = door.platform.servers.values()
+        assert not cold_for_us(door, one) and 0 <= cold_for_us(door, two) <= S
+        assert cold_for_us(door, three) > 13 * S
+
+
+def test_one_module_alone_reads_the_wall_clock_of_what_a_gateway_of_the_platform_loads():
+    loaded = subprocess.run([sys.executable, "-c", "import sys, lapiswing.node.serve; print(*(m.__file__ for n, m in "
+                             "sys.modules.items() if n.startswith('lapiswing.') and m.__file__))"],
+                            capture_output=True, text=True, check=True).stdout.split()
+    callers = set()
+    for file in loaded:
+        for node in ast.walk(ast.parse(Path(file).read_text())):
+            if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name) and (
+                    node.value.id == "time" and node.attr in ("time", "time_ns", "localtime", "gmtime")
+                    or node.value.id == "datetime" and node.attr in ("now", "utcnow", "today")):
+                callers.add(Path(file).name)
+    assert callers <= {"wall_clock.py"}
