A state that no decode server has answered for is released in time, though an attempt is out

Timeline of q1.154: prefill ends at 6 ms, the attempt is written on a kept connection that has fallen silent, nothing more until it is taken back as silent at 1.8 s; the release follows. Checked: servers' records, no attempt and no release arrived between. Ruled out: a lost release (none was sent). Now each attempt at a decode server sets a timer of 0.8 of the time to let go; where no answer has begun then, a release is sent besides (it drops only what no attempt waits for). Ruled out as a mend: taking attempts back sooner, which moves all that only wait in a queue.

--- a/lapiswing/benchlink/wire.py
+++ b/lapiswing/benchlink/wire.py
@@ -89,6 +89,8 @@
     def release(self, req):
         self.put("Release", Req=req)
 
+    release_unclaimed = release  # it never drops what an attempt waits for
+
     def retract(self, req, forward_no):
         self.put("Retract", Req=req, Try=forward_no)
 
--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -358,6 +358,12 @@
             req.state = req.left = None
             self.forget(req)
 
+    def release_unclaimed(self, rid):
+        """Where servers drop by the request's name, and then only what no attempt waits for there."""
+        req = self.reqs.get(rid)
+        if req is not None and req.state is not None and self.engine.by_req:
+            self.engine.release(req.state[0], req.state[2])
+
     def retract(self, rid, number):
         req = self.reqs.get(rid)
         if req is not None and number != req.begun:
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -30,6 +30,7 @@
 # Part of the time to let go that connections may use to come up, then each so little: a forward is not out
 # before, and the rest is the release's. Could harm where all are slow to come up.
 UP_PART, LEAST_UP_US = 0.75, 10 * MS
+UNCLAIMED_PART = 0.8  # of the time to let go, after which a state is released that no decode server has answered for
 COLD_HOMES = 2  # a prefix goes to every so many-th cold reader; no one's turns grow by more, whatever is hot,
 COLD_HOT = 0.1  # and a hot one to so many that it adds this part at the most to any one's
 COLD_LONG = 1.5  # part of what the rule allows for chance that a prompt may take where no server is warm
@@ -55,7 +56,8 @@
         self.margin_us, self.cold_multiple = settings.get("resolution_us", MS), rules["fall_multiple"]
         self.cold_from, self.cold_us = rules["cold_from"], rules["ramp_time_us"] * 1.2
         self.fall_us = rules["overload_for_us"]  # the window in which a cold server's work is counted
-        self.up_us = int((family.get("let_go_by_us") or 500 * MS) * UP_PART)
+        let_go_us = family.get("let_go_by_us") or 500 * MS
+        self.up_us, self.unclaimed_us = int(let_go_us * UP_PART), int(let_go_us * UNCLAIMED_PART)
         self.asks = settings.get("membership_mode") == "subscribe"
         self.quota = [t.get("quota_rps", 0) / self.gateways for t in settings.get("tenants") or []]
         self.spare, self.pause_us = 10.0, 1000 * MS  # forwards to spare; between two trials of a suspect
@@ -111,6 +113,8 @@
         self.moved_us = self.moved_us or self.now
 
     def on_timer(self, token):
+        if token:
+            return self.release_unclaimed(token)
         self.timer = False
         if self.asks and not self.subscribed and self.now >= self.ask_us:
             self.ask_us = self.now + 1000 * MS
@@ -519,6 +523,23 @@
             machine.trial_us = self.now + self.pause_us
         self.out.forward(req.id, machine.id, max(MS, req.expires - self.now - self.margin_us),
                          up_us)
+        if stage == "write" and req.holder is not None:
+            self.watch_claim(req, number)
+
+    def watch_claim(self, req, number):
+        """Has a state looked after that an attempt at a decode server is to fetch."""
+        self.claims += 1
+        self.unclaimed[self.claims] = req.id, number
+        self.out.timer(self.unclaimed_us, self.claims)
+
+    def release_unclaimed(self, token):
+        """Guards against an attempt that never arrived, on a connection that has fallen silent: it is not out, and the
+        state's time runs on. A release drops only what no attempt waits for, so it does no harm to one that has arrived;
+        could harm by its message, and by a new prefill where the attempt arrives just behind it."""
+        rid, number = self.unclaimed.pop(token)
+        req = self.reqs.get(rid)
+        if req is not None and not req.closed and req.begun is None and req.forwards[number][3]:
+            self.out.release_unclaimed(rid)
 
     def give_up(self, req, come_back_us=1 << 40):
         """The final answer at once, and whatever is held let go."""
--- a/lapiswing/routing/state.py
+++ b/lapiswing/routing/state.py
@@ -76,6 +76,7 @@
         self.answer_us = [0.0] * groups  # answer length, as time
         self.read_mean, self.wait_mean, self.modes = 0.0, 0.0, {}
         self.quota_left = {}  # of tenants seen: what was left of their share, and when
+        self.claims, self.unclaimed = 0, {}  # states that an attempt is to fetch: (request, attempt) by timer token
         self.own_trouble = False  # this machine can open no connection
         self.carried = {}  # servers of an earlier process, by id
 
--- a/tests/test_reach.py
+++ b/tests/test_reach.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from platform_door import Door
+
 from lapiswing.loop import Loop, ManualClock
 from lapiswing.node.reach import AT_ONCE, PARTS, Reach, more_at
 from lapiswing.node.servers import Servers
@@ -132,3 +134,26 @@
         reach.silent("s-1", 1)
         first.add(reach.order("s-1")[0])
     assert len(first) > 20
+
+
+def test_a_state_that_no_decode_server_claims_is_released_in_time_though_an_attempt_is_out(tmp_path):
+    """Found by the soak, seed 1: a kept connection had fallen silent, and the state was held for 1.8 s: what has not arrived
+    is not out, and nothing tells whether it has."""
+    with Door(tmp_path, ("read", "write")) as door:
+        reader, writer = door.platform.servers.values()
+        writer.fault = lambda exchange: exchange.method == b"POST"
+        client = door.ask("a1")
+        door.until(lambda: reader.states)
+        held_us = door.loop.clock.now_us()
+        door.until(lambda: not reader.states)
+        assert door.loop.clock.now_us() - held_us < 500 * MS
+        assert not client.status  # it still waits: the attempt may have arrived
+        client.close()
+        door.settled()
+
+
+def test_a_state_that_is_claimed_in_time_is_not_released_besides(tmp_path):
+    with Door(tmp_path, ("read", "write")) as door:
+        assert door.ask("a1").whole().status == 200
+        door.loop.run_until(lambda: False, 600 * MS)
+        assert not door.platform.seen(b"DELETE")
