A start that a late list tells of is placed by the clock within a second of the last answer

A second is allowed now: less than that can't be told from a clock that is ahead anyhow, as the answers of a watch are up to a second apart.

--- a/lapiswing/membership/starts.py
+++ b/lapiswing/membership/starts.py
@@ -6,7 +6,8 @@
 
     in the future                      it has started now
     in a change, and older than the    it has started now: the list that this process had by then did not name it
-    last answer of discovery
+    last answer of discovery by more
+    than a list may be late
     in the first list, which no        the newest start of the list (of those not in the future) may be now; the others are
     earlier one can be held against    as much older as the list says, or as this clock says where that is less
 
@@ -14,6 +15,9 @@
 from typing import NamedTuple
 
 MS = 1000
+# Discovery may know of a start so much later. Could harm by a server that is taken for warmer by this span, where the clock
+# is ahead by less.
+LATE_US = 1000 * MS
 KEPT_OVER = 64  # starts of servers that have left, before those are forgotten
 
 
@@ -57,7 +61,7 @@
             return now_us
         if self.answered_us is None:
             return now_us - (newest_us - started_us)
-        return started_us if started_us >= self.answered_us else now_us
+        return started_us if started_us >= self.answered_us - LATE_US else now_us
 
     def forget_others(self, named):
         if len(self.placed) > 2 * len(named) + KEPT_OVER:
