Run-time checks of sending, starting, repeating and closing that count what they stop

What is stopped is counted, logged as 'guard' and told to the decisions as never sent. The soak's oracle counts such a line as a violation. Also: ENFILE at connect passes like the other troubles of the machine (a test seen red).

--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -20,12 +20,14 @@
 from lapiswing.admission.caps import Caps
 from lapiswing.chat import Assembler
 from lapiswing.gateway import resume
+from lapiswing.gateway.guards import Guards, History
 from lapiswing.gateway.tally import Tally
 from lapiswing.loop import address_of
 from lapiswing.policy import Router
 from lapiswing.state import Memory
 
 MS = 1000
+GRACE_US = 1000 * MS  # for what is sent to a server that drains, where the settings name none
 ROUNDS = 4  # of the Router in one turn; what is still new then waits for the next turn
 
 
@@ -84,6 +86,7 @@
         self.paused = False
         self.first_us = self.backstop = None
         self.held_us = None  # since when a state is held without a forward being out
+        self.history = History()  # for the run-time checks
         self.trail, self.part = [], 0  # for the log line; tokens written before the present part
 
 
@@ -105,6 +108,8 @@
         self.memory = memory or Memory(None, None, None)
         self.tally, self.caps, self.on_change = Tally(), Caps(), None
         self.round_us = self.rounds = 0
+        grace_us = (router_settings.get("rules") or {}).get("stop_sending_within_us") or GRACE_US
+        self.guards = Guards(self.facts, grace_us, router_settings["limits"].get("second_copies", True), log)
         self.router = router(seed, router_settings, loop.clock.now_us())
         loop.after.append(self.turn)
 
@@ -283,6 +288,11 @@
         req.sends += 1
         role = self.roles[self.kinds[server]]
         stage = "write" if req.state else "read" if role == "read" else "direct"
+        place = self.place_of(server)
+        if not self.guards.may_send(req, req.history, req.spec.group, server, place, stage != "read", now):
+            self.events.append(("outcome", rid, number, server, "moot", 0, False, None, None))
+            return
+        self.guards.sent(req.history, number, place, stage != "read", now)
         out = req.outs[number] = Out(server, stage, now)
         self.counts["forwards"] += 1
         self.tally.sent(server)
@@ -319,6 +329,11 @@
                                  or self.noted(req, rid, number, out, send, "the disk takes too long"))
             self.memory.when_noted(spec.entry, lambda why: self.noted(req, rid, number, out, send, why))
 
+    def place_of(self, server):
+        """Its zone and cell, by the list as the decisions know it."""
+        row = self.membership.told.get(server)
+        return (row.zone, row.cell) if row is not None else (None, None)
+
     def noted(self, req, rid, number, out, send, why):
         if out.forward is None or out.forward.over:
             return
@@ -491,6 +506,7 @@
         if req.rid != rid or req.outs.pop(number, None) is None:
             return
         out.timer.cancel()
+        self.guards.ended(req.history, number, code)
         now = self.loop.clock.now_us()
         forward, begun = out.forward, number == req.begun
         latency = now - out.sent_us
@@ -537,6 +553,7 @@
             self.counts["resumed"] += 1
             req.rid, req.resumes, req.begun, req.sends, req.state, req.paused = (
                 self.count, req.resumes + 1, None, 0, None, False)
+            req.history = History()
             req.part = req.answer.assembler.tokens
             req.raw = resume.rest_of(req.spec.call.raw, req.answer.assembler.content(), req.part)
             req.tokens = req.spec.tokens + req.part
@@ -624,6 +641,10 @@
             self.tally.box(row.id).listed(row.started_us)
             self.changed("box", box=row.id, mode=row.mode, why=self.membership.why(row.id))
         self.events.append(news)
+        now = self.loop.clock.now_us()
+        self.guards.listed(news[2], now)
+        if news[1] != "update":
+            self.guards.gone(self.kinds.keys() - self.membership.told.keys(), now)
         self.withdraw_unsent()
         if news[1] != "update":
             self.departed = self.kinds.keys() - self.membership.told.keys()
@@ -649,6 +670,7 @@
         have heard of it: an event before the news may still choose one of them."""
         for server in [server for server in self.departed if not self.tally.box(server).out]:
             self.departed.remove(server)
+            self.guards.off_us.pop(server, None)
             del self.kinds[server], self.tally.boxes[server]
 
     def list_boxes(self, rows):
--- a/lapiswing/lab/soak/oracle.py
+++ b/lapiswing/lab/soak/oracle.py
@@ -235,7 +235,7 @@
         except OSError:
             return []
         return [line for line in lines if "event=fault" in line or "fault in the decisions" in line or "Traceback" in line
-                or "backstop" in line][:3]
+                or "event=backstop" in line or "event=guard" in line][:3]
 
 
 def judge(day):
--- a/lapiswing/loop/errnos.py
+++ b/lapiswing/loop/errnos.py
@@ -30,7 +30,8 @@
 
 ACCEPT = ({code: Cause.PEER for code in GONE_IN_THE_QUEUE} | {code: Cause.OWN_MOMENT for code in MEMORY}
           | {code: Cause.OWN_DESCRIPTORS for code in DESCRIPTORS})
-CONNECT = ({code: Cause.OWN_MOMENT for code in NO_WAY_OUT | MEMORY} | {code: Cause.OWN_DESCRIPTORS for code in DESCRIPTORS})
+# ENFILE is a lack of the whole machine and passes; EMFILE is this process's own bound, and the caller's to make room for.
+CONNECT = ({code: Cause.OWN_MOMENT for code in NO_WAY_OUT | MEMORY | {errno.ENFILE}} | {errno.EMFILE: Cause.OWN_DESCRIPTORS})
 TRANSFER = {code: Cause.OWN_MOMENT for code in MEMORY}
 
 
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -241,7 +241,8 @@
                 any(c.stream.waiting for c in self.server.connections) if late else self.server.busy()):
             return self.loop.call_later(20 * MS, self.finish)
         self.server.drain()
-        self.log.info("stopped", rounds=self.core.rounds, round_ms=self.core.round_us // MS,
+        self.core.guards.closed(self.core.reqs.values())
+        self.log.info("stopped", guards=self.core.guards.total, rounds=self.core.rounds, round_ms=self.core.round_us // MS,
                       **{k.replace(" ", "_"): v for k, v in self.core.counts.items() if v})
         self.loop.stop()
 
--- a/tests/test_errno.py
+++ b/tests/test_errno.py
@@ -140,7 +140,7 @@
     return {m.id: (round(m.bad, 6), m.suspect) for m in router.machines.values()}, dict(router.lost), router.failing
 
 
-@pytest.mark.parametrize("name", ["EADDRNOTAVAIL", "ENOBUFS", "ENETUNREACH", "ENOMEM"])
+@pytest.mark.parametrize("name", ["EADDRNOTAVAIL", "ENOBUFS", "ENETUNREACH", "ENOMEM", "ENFILE"])
 def test_while_no_connection_can_be_opened_here_requests_wait_and_no_server_is_blamed(tmp_path, monkeypatch, name):
     with Door(tmp_path, ("read", "read", "write", "write")) as door:
         assert door.ask("a0").whole().status == 200
