--- a/lapiswing/lab/soak/process.py
+++ b/lapiswing/lab/soak/process.py
@@ -111,8 +111,10 @@
             then()
 
     def reload(self):
+        """Tells the program, never the shell before it, which has the signal's default action."""
         self.write_config()
-        self.send(signal.SIGHUP)
+        if self.alive() and self.program_runs():
+            self.send(signal.SIGHUP)
 
     def descriptors(self):
         return len(os.listdir(f"/proc/{self.program.pid}/fd"))
--- a/lapiswing/lab/soak/records.py
+++ b/lapiswing/lab/soak/records.py
@@ -46,6 +46,7 @@
     sips: bool = False  # it takes its answer slowly
     arrivals: list = field(default_factory=list)  # (when, bytes of the answer by then)
     last_bytes_us: int | None = None
+    first_us: int | None = None  # when it was sent first
     listener: object = None  # hears the answer
     again: tuple = ()  # where and how it was sent
 
--- a/lapiswing/lab/soak/troubles.py
+++ b/lapiswing/lab/soak/troubles.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 S = 1_000_000
+SHARED = 0.6  # part of the troubles of a burst that strike at the same place
 FIRST_S = 2.0  # the fleet is left in peace for so long
 
 
@@ -44,9 +45,10 @@
     """-> Troubles in order of time: bursts of two to four that overlap, and a quiet time before the end."""
     chance, troubles, at = Random(seed), [], FIRST_S
     while at < seconds - 4:
+        shared = chance.randrange(1 << 16)  # troubles of one gateway, or of one server, cross more often
         for _ in range(chance.choice((2, 3, 3, 4))):
             begin = at + chance.uniform(0, 0.8)
             troubles.append(Trouble(int(begin * S), int(chance.uniform(0.4, 2.5) * S), chance.choice(list(Kind)),
-                                    chance.randrange(1 << 16), chance.random()))
+                                    shared if chance.random() < SHARED else chance.randrange(1 << 16), chance.random()))
         at += chance.uniform(1.2, 2.5)
     return sorted(troubles, key=lambda trouble: trouble.at_us)
