--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -286,6 +286,9 @@
             return
         number, now = req.sends, self.loop.clock.now_us()
         req.sends += 1
+        if now >= req.expires_us:  # a process that was held up since the decisions read their clock
+            self.events.append(("outcome", rid, number, server, "moot", 0, False, None, None))
+            return
         role = self.roles[self.kinds[server]]
         stage = "write" if req.state else "read" if role == "read" else "direct"
         place = self.place_of(server)
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -364,6 +364,8 @@
         limits, past = self.server.limits, now - self.since_us
         if self.stream.lingering is not None:
             return  # it has its own time
+        if self.phase == "idle" and not self.stream.closing and self.stream.pending():
+            return  # what has come in is read first, in the next turn
         if self.stream.waiting and now - self.stream.moved_us > limits.stall_us:
             return self.stream.abort()
         if not self.served and limits.first_us is not None and now - self.born_us > limits.first_us:
--- a/lapiswing/lab/soak/day.py
+++ b/lapiswing/lab/soak/day.py
@@ -189,6 +189,7 @@
         for call, code in Random(trouble.target).sample(ERRNOS, 2):
             gateway.faults.append({"call": call, "code": code, "from_us": now, "to_us": now + min(trouble.lasts_us, 600 * MS),
                                    "part": 1.0 if trouble.draw < 0.3 and call == "connect_ex" else 0.3})
+        self.day.cut_off.append((gateway.number, now, now + 600 * MS))
         gateway.write_shim()
         if gateway.run.ready_us is not None:
             gateway.send(signal.SIGUSR2)
--- a/lapiswing/lab/soak/oracle.py
+++ b/lapiswing/lab/soak/oracle.py
@@ -190,7 +190,7 @@
         found = []
         for state in self.day.states:
             call = self.day.calls.get(state.rid)
-            if state.excused or call is None or self.killed_holding(call, state):
+            if state.excused or call is None or self.killed_holding(call, state) or self.could_not_say(call, state):
                 continue
             end_us = state.end_us if state.end_us is not None else state.from_us + 3600 * S
             free_us = state.from_us
@@ -206,6 +206,12 @@
                 found.append(Violation("held", state.rid, f"at {state.server}, {over_us // MS} ms too long"))
         return found
 
+    def could_not_say(self, call, state):
+        """Whether its gateway could open no connection to release it, for part of the time. What is never released counts."""
+        return state.end_us is not None and any(
+            gateway == call.gateway and start_us <= state.end_us and state.from_us <= end_us
+            for gateway, start_us, end_us in self.day.cut_off)
+
     def hold_limit_us(self):
         return round(site.LET_GO_MS * MS) + HELD_SLACK_US + self.slack_us
 
--- a/lapiswing/lab/soak/records.py
+++ b/lapiswing/lab/soak/records.py
@@ -87,6 +87,7 @@
     back: dict = field(default_factory=dict)  # server -> when it was listed as ready again
     broken_us: dict = field(default_factory=dict)  # server -> [(from, to)] in which its streams may end early
     troubles: list = field(default_factory=list)
+    cut_off: list = field(default_factory=list)  # (gateway, from, to) in which it may not be able to open connections
     second_copies: dict = field(default_factory=dict)  # by gateway, whether its settings allow them
     runner_late_us: int = 0  # the longest turn of the observer itself: its own slack
 
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -536,7 +536,7 @@
         """Guards against an attempt that never arrived, on a connection that has fallen silent: it is not out, and the
         state's time runs on. A release drops only what no attempt waits for, so it does no harm to one that has arrived;
         could harm by its message, and by a new prefill where the attempt arrives just behind it."""
-        rid, number = self.unclaimed.pop(token)
+        rid, number = self.unclaimed.pop(token, (None, None))
         req = self.reqs.get(rid)
         if req is not None and not req.closed and req.begun is None and req.forwards[number][3]:
             self.out.release_unclaimed(rid)
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -186,3 +186,17 @@
         gaps = [b - a for a, b in zip(seen, seen[1:])]
         assert min(gaps) > 50 * MS and max(gaps) < 300 * MS, gaps
         assert client.whole().status == 200
+
+
+def test_a_request_that_comes_as_its_connection_is_given_up_as_silent_is_answered(tmp_path):
+    """Both in one turn, the look at silent connections first."""
+    with Door(tmp_path, ("both", "both")) as door:
+        client = door.client()
+        door.until(lambda: door.node.server.connections)
+        conn, = door.node.server.connections
+        client.send(head("a1") + BODY)
+        conn.overdue(conn.born_us + 3_000_000)
+        assert client.whole().status == 200
+        conn.overdue(door.loop.now + 200_000_000)  # with nothing on its way it does close
+        door.until(lambda: not door.node.server.connections)
+        client.close()
--- a/tests/test_time_told.py
+++ b/tests/test_time_told.py
@@ -22,3 +22,19 @@
         for seconds, at_us in told:
             left_us = asked_us + 2_000 * MS - at_us
             assert left_us - 100 * MS < seconds * 1e6 <= left_us + SLACK_US, (seconds, left_us)
+
+
+def test_nothing_is_sent_for_a_request_whose_time_is_over_when_the_process_goes_on(tmp_path):
+    """Found by the soak, seed 15: a process that was stopped for 0.12 s between its clock and its attempt sent it all the same."""
+    with Door(tmp_path, ("both",)) as door:
+        choose = door.core.router.choose_reader
+
+        def held_up(request, at):
+            chosen = choose(request, at)
+            while door.loop.clock.now_us() < request.expires:
+                pass
+            return chosen
+        door.core.router.choose_reader = held_up
+        assert door.ask("a1", Req_Deadline="0.100").whole().status == 503
+        assert not door.platform.seen(b"POST") and not door.core.guards.total
+        door.settled()
