--- a/lapiswing/lab/soak/day.py
+++ b/lapiswing/lab/soak/day.py
@@ -300,6 +300,11 @@
         for i in range(4):
             self.loop.call_later(trouble.lasts_us * i // 4, server.relay.cut)
 
+    def link_deaf(self, trouble):
+        server = self.server(trouble)
+        server.deafen()
+        self.loop.call_later(trouble.lasts_us, server.hear)
+
     # ---- of discovery
 
     def discovery_silent(self, trouble):
--- a/lapiswing/lab/soak/platform.py
+++ b/lapiswing/lab/soak/platform.py
@@ -1,11 +1,16 @@
 """The model servers and discovery agents of a soak: the platform's stand-ins, recording and failing on order."""
 
+import selectors
+import socket
+
 from lapiswing.lab.soak.records import Attempt, State, Told
 from lapiswing.loop import Listener, listen_socket
+from lapiswing.loop.net import BACKLOG
 from lapiswing.standin.platform import Discovery, ModelServer, Platform
 from lapiswing.standin.relay import Relay
 
 MS, S = 1000, 1_000_000
+PLUGS = 4  # connections that fill a queue of none
 
 
 class SoakServer(ModelServer):
@@ -15,7 +20,7 @@
         super().__init__(platform, name, role, zone, group)
         self.relay = Relay(platform.loop, self.server.listener.address)
         self.address = f"127.0.0.1:{self.relay.address[1]}"
-        self.mode, self.open = None, set()
+        self.mode, self.open, self.plugs = None, set(), []
         self.events = platform.chance.choice((3, 5, 12, 40))
         self.pause_us, self.read_us = platform.chance.choice((2, 8)) * MS, platform.chance.choice((5, 20, 60)) * MS
         self.fault = self.misbehave
@@ -122,10 +127,33 @@
         host, port = self.address.rsplit(":", 1)
         self.relay.listener = Listener(self.platform.loop, listen_socket(host, int(port)), self.relay.accept)
 
+    def deafen(self):
+        """No new connection comes up: the queue of those that wait to be accepted is full."""
+        listener = self.relay.listener
+        if listener.closed or self.plugs:
+            return
+        self.platform.loop.watch(listener.sock, 0, None)
+        listener.sock.listen(0)
+        for _ in range(PLUGS):
+            plug = socket.socket()
+            plug.setblocking(False)
+            plug.connect_ex(listener.address)
+            self.plugs.append(plug)
+
+    def hear(self):
+        plugs, self.plugs = self.plugs, []
+        for plug in plugs:
+            plug.close()
+        listener = self.relay.listener
+        if plugs and not listener.closed:
+            listener.sock.listen(BACKLOG)
+            self.platform.loop.watch(listener.sock, selectors.EVENT_READ, listener.on_ready)
+
     def broken(self, lasts_us):
         self.platform.day.broken_us.setdefault(self.name, []).append((self.now, self.now + lasts_us))
 
     def close(self):
+        self.hear()
         self.relay.close()
         self.server.listener.close()
         self.server.close()
--- a/lapiswing/lab/soak/process.py
+++ b/lapiswing/lab/soak/process.py
@@ -23,6 +23,7 @@
         self.loop, self.day, self.number, self.count, self.agent = loop, day, number, count, agent
         self.address, self.folder, self.seed = ("127.0.0.1", port), Path(folder), seed
         self.second_copies = day.second_copies[number] = seed % 2 == 0
+        self.asked = day.seed % 4 == 0
         self.run = self.program = None
         self.runs, self.clock_s, self.faults = 0, 0, []
         self.pool = Pool(loop, 4, 1)
@@ -39,6 +40,7 @@
             self.seed + self.runs,
             self.agent.whole(),
             self.second_copies,
+            self.asked,
             SOCKETS,
         )
         self.config.write_text(text if whole else text[: len(text) // 3])
--- a/lapiswing/lab/soak/site.py
+++ b/lapiswing/lab/soak/site.py
@@ -7,7 +7,8 @@
 GRACE_MS, LET_GO_MS, RAMP_MS = 1000.0, 500.0, 6000.0
 
 
-def settings(number, gateways, second_copies):
+def settings(number, gateways, second_copies, asked):
+    """`asked`: whether changes of the list come only to those who ask."""
     classes = [
         {
             "Name": name,
@@ -52,12 +53,13 @@
             "Probes": True,
         },
         "Me": number,
-        "MembershipMode": "automatic",
+        "MembershipMode": "subscribe" if asked else "automatic",
         "Penalties": {"CrossZone": 0.02},
         "Report": {"How": "inline", "Names": ["inflight", "queue", "x0", "x1"]},
         "ResolutionMs": 4.0,
         "Rules": {
             "AnswerSlackMs": 16.0,
+            "AskWithinMs": 10000.0,
             "ColdFrom": 0.25,
             "FallMultiple": 2.5,
             "OverloadForMs": 1000.0,
@@ -69,7 +71,7 @@
     }
 
 
-def configuration(number, gateways, port, discovery, seed, known, second_copies, sockets):
+def configuration(number, gateways, port, discovery, seed, known, second_copies, asked, sockets):
     return json.dumps(
         {
             "name": f"n{number}",
@@ -78,6 +80,6 @@
             "seed": f"{seed:x}",
             "known": known,
             "limits": {"cores": 0.5, "memory_mb": 128, "sockets": sockets},
-            "settings": settings(number, gateways, second_copies),
+            "settings": settings(number, gateways, second_copies, asked),
         }
     )
--- a/lapiswing/lab/soak/troubles.py
+++ b/lapiswing/lab/soak/troubles.py
@@ -27,6 +27,7 @@
     SERVER_REPLACED = "a model server is taken off the list, another joins"
     LINK_HOLD = "connections to a model server fall silent, without an error"
     LINK_RESET = "connections to a model server are reset, again and again"
+    LINK_DEAF = "connections to a model server never come up, and open ones go on"
     DISCOVERY_SILENT = "all discovery agents fall silent"
     DISCOVERY_GARBAGE = "all discovery agents answer with what can't be read"
     WATCH_LOST = "open watches are forgotten, without an error"
