--- a/lapiswing/lab/soak/oracle.py
+++ b/lapiswing/lab/soak/oracle.py
@@ -70,6 +70,9 @@
             return []
         took_ms = ((call.end_us or 0) - call.sent_us) // MS
         tell = f"status {call.status} failed {call.failed} after {took_ms} ms of {call.deadline_us // MS}"
+        run = self.run_of(call)
+        if run is not None and run.term_us is not None:
+            tell += f", sent {(call.sent_us - run.term_us) // MS} ms after SIGTERM, {'kept' if call.kept else 'new'} connection"
         if call.failed in ("connect", "unsent", "away", "local"):
             return []  # it was not taken
         if call.finals > 1:
