A single server without a way from here costs a moment: only what is common is waited out

Now an attempt waits for longer than a connection's usual time only where two addresses fail and none has come up since; the decisions hear of it after 60 ms of that; the outcome no_way blames nobody, costs no budget and goes elsewhere. A fault of accept does not keep a port from closing.

--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -20,7 +20,7 @@
 from lapiswing.admission.caps import Caps
 from lapiswing.chat import Assembler
 from lapiswing.gateway import resume
-from lapiswing.gateway.guards import Guards, History
+from lapiswing.gateway.guards import NEVER_RAN, Guards, History
 from lapiswing.gateway.tally import Tally
 from lapiswing.loop import address_of
 from lapiswing.policy import Router
@@ -522,7 +522,7 @@
             req.state = (out.server, forward.params, forward.name, again_us)
         if req.state is not None and not req.outs:
             req.held_us = now
-        elif out.stage == "read" and code not in ("full", "unreachable", "moot"):
+        elif out.stage == "read" and code not in NEVER_RAN:
             # It may have left a state behind that nobody will name again. Where states have their req's name a release
             # drops all of them, so it waits until nothing of the req is out.
             if self.engine.by_req:
@@ -648,7 +648,8 @@
         self.guards.listed(news[2], now)
         if news[1] != "update":
             self.guards.gone(self.kinds.keys() - self.membership.told.keys(), now)
-        self.withdraw_unsent()
+        if news[1] != "update" or any(row.mode != "ready" for row in news[2]):
+            self.withdraw_unsent()
         if news[1] != "update":
             self.departed = self.kinds.keys() - self.membership.told.keys()
         self.lines.info("boxes", kind=news[1], ready=sum(r.mode == "ready" for r in self.membership.told.values()),
--- a/lapiswing/gateway/guards.py
+++ b/lapiswing/gateway/guards.py
@@ -7,7 +7,7 @@
 
 MS = 1000
 CLOCK_US = 2 * MS  # between the decisions' clock and this look at it
-NEVER_RAN = ("full", "unreachable", "moot")  # outcomes that prove it
+NEVER_RAN = ("full", "unreachable", "no_way", "moot")  # outcomes that prove it
 
 
 class Check(Enum):
--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -7,15 +7,16 @@
 from lapiswing.loop import NO_DESCRIPTOR, connect
 
 HEAD_BYTES = 65536
+COMMON_US = 60_000  # of failing at once: three tries
 
 
 class ClientExchange:
     """One request to a server. The handler is told, in this order and nothing after `on_end` or `on_fail`:
         on_head(status, fields)   on_body(bytes)...   on_end()
         on_fail(stage, why)       instead of whatever is still missing
-    Stages: 'local' (this machine could make no connection: descriptors, ports, memory, routes), 'connect' (no
-    connection), 'unsent' (the connection went before the last byte of the request was given to the kernel), 'sent' (after
-    it, no byte of an answer), 'head' (within the answer's head), 'body'.
+    Stages: 'local' (no descriptor left here), 'no way' (this machine could open no connection, to this address at least:
+    ports, memory, routes), 'connect' (no connection), 'unsent' (the connection went before the last byte of the request
+    was given to the kernel), 'sent' (after it, no byte of an answer), 'head' (within the answer's head), 'body'.
     After `cancel()` the handler hears nothing more."""
 
     def __init__(self, pool, address, head, body, handler):
@@ -32,7 +33,7 @@
         self.over = True
         if self.connecting is not None:
             self.connecting.cancel()
-            self.pool.unstick(self.connecting)
+            self.pool.stuck.ended(self.connecting)
             self.pool.dropped(self.address)
         elif self.conn is not None:
             self.conn.stream.abort()
@@ -214,6 +215,42 @@
         pass
 
 
+class Stuck:
+    """Attempts to connect that fail at once for reasons of this machine. `on_change(bool)` is told whether that is common:
+    none has come up for a while."""
+
+    def __init__(self):
+        self.attempts, self.failed = set(), set()  # failed: addresses, since a connection came up last
+        self.opened_us, self.told, self.on_change = 0, False, None
+
+    def common(self, attempt):
+        """One fails again. -> whether others do too, elsewhere, and none has come up since it began."""
+        now_us = attempt.loop.clock.now_us()
+        self.attempts.add(attempt)
+        self.failed.add(attempt.address)
+        if self.opened_us > attempt.begun_us:
+            return False
+        if now_us - attempt.begun_us >= COMMON_US:
+            self.tell(True)
+        return len(self.failed) > 1
+
+    def ended(self, attempt):
+        self.attempts.discard(attempt)
+        if not self.attempts:
+            self.tell(False)
+
+    def opened(self, now_us):
+        self.opened_us = now_us
+        self.failed.clear()
+        self.tell(False)
+
+    def tell(self, common):
+        if common != self.told:
+            self.told = common
+            if self.on_change is not None:
+                self.on_change(common)
+
+
 class Pool:
     """Connections to servers: at most `most` for an address, of which `kept` may wait idle for `idle_us`. What
     comes while all are taken waits in line; its handler's own time-out bounds that."""
@@ -225,7 +262,7 @@
         self.settle_us, self.most_all = settle_us, most_all
         self.idle, self.count, self.line, self.all = {}, {}, {}, set()
         self.opened = self.reused = 0
-        self.stuck, self.on_stuck = set(), None  # connections that this machine can't open just now; told as that changes
+        self.stuck = Stuck()
         self.sweep_timer = loop.call_later(1_000_000, self.sweep)
 
     def request(self, address, method, target, fields, body, handler, fresh=False, up_us=None, late_fields=None):
@@ -286,31 +323,19 @@
 
         def done(stream, why):
             exchange.connecting = None
-            self.unstick(attempt)
+            self.stuck.ended(attempt)
             if stream is None:
                 self.dropped(address)
-                exchange.fail("local" if attempt.own else "connect", why)
+                exchange.fail("local" if why is NO_DESCRIPTOR else "no way" if attempt.own else "connect", why)
                 return
             self.opened += 1
+            self.stuck.opened(self.loop.now)
             conn = ClientConnection(self, address, stream)
             self.all.add(conn)
             conn.start(exchange)
 
         attempt = exchange.connecting = connect(self.loop, address, exchange.connect_us, done, wait_us=exchange.wait_us,
-                                                 on_own=self.note_stuck)
-
-    def note_stuck(self, attempt):
-        if not attempt.own:
-            return self.unstick(attempt)
-        self.stuck.add(attempt)
-        if len(self.stuck) == 1 and self.on_stuck is not None:
-            self.on_stuck(True)
-
-    def unstick(self, attempt):
-        if attempt in self.stuck:
-            self.stuck.remove(attempt)
-            if not self.stuck and self.on_stuck is not None:
-                self.on_stuck(False)
+                                                 common=self.stuck.common)
 
     def dropped(self, address):
         self.count[address] -= 1
--- a/lapiswing/interface.py
+++ b/lapiswing/interface.py
@@ -17,7 +17,8 @@
 
 A forward's connection has to be up within `up_us` and the host's own bound, else its outcome is unreachable.
 
-Outcome codes: done, read, error, full, timed_out, unreachable, reset, cancelled, moot.
+Outcome codes: done, read, error, full, timed_out, unreachable, no_way, reset, cancelled, moot. `no_way`: the host's machine could open no
+connection to this server; it never ran, and says nothing of the server.
 Times are whole microseconds; ids are passed through unchanged.
 """
 from typing import NamedTuple, Protocol
--- a/lapiswing/loop/net.py
+++ b/lapiswing/loop/net.py
@@ -109,11 +109,12 @@
         cause = of_accept(problem.errno)
         if cause is Cause.PEER or cause is Cause.OWN_DESCRIPTORS and self.accept_and_close():
             return True
-        if not closing:
-            self.rest()
+        if closing:
+            return cause is not Cause.FAULT
+        self.rest()
         if cause is Cause.FAULT:
             raise problem
-        return closing
+        return False
 
     def accept_and_close(self):
         if self.spare is not None:
@@ -177,13 +178,14 @@
 class connect:
     """Opens a connection to (host, port) or a Unix path; then `done(stream, None)` or `done(None, why)`, never from within
     this call. `make` builds the stream on the connected socket. What fails at once for a reason of this machine is tried
-    again for `wait_us`; `own` is then true, and `why` says nothing of the peer. `on_own(self)` is called as `own` changes and
-at the end."""
+    again for `timeout_us`, and for `wait_us` as long as `common(self)` says that it is not this address alone; `own` is then
+    true, and `why` says nothing of the peer."""
 
-    def __init__(self, loop, address, timeout_us, done, make=Stream, wait_us=0, on_own=None):
+    def __init__(self, loop, address, timeout_us, done, make=Stream, wait_us=0, common=None):
         self.loop, self.address, self.timeout_us, self.done, self.make = loop, address, timeout_us, done, make
-        self.on_own = on_own
-        self.until_us = loop.clock.now_us() + max(wait_us, timeout_us)
+        self.common = common
+        self.begun_us = loop.clock.now_us()
+        self.until_us = self.begun_us + max(wait_us, timeout_us)
         self.sock = self.timer = None
         self.own = False
         self.begin()
@@ -199,15 +201,15 @@
             return self.failed(problem.errno, problem.strerror or str(problem))
         if code not in (0, errno.EINPROGRESS):
             return self.failed(code, os.strerror(code))
-        self.say_own(False)
+        self.own = False
         self.loop.watch(self.sock, selectors.EVENT_WRITE, self.on_ready)
         left_us = max(0, self.until_us - self.loop.clock.now_us())
         self.timer = self.loop.call_later(min(self.timeout_us, left_us), self.finish, "connect: no answer in time")
 
     def failed(self, code, text):
         cause = of_connect(code)
-        self.say_own(cause is not Cause.PEER)
-        if cause is Cause.OWN_MOMENT and self.loop.clock.now_us() + AGAIN_US < self.until_us:
+        self.own = cause is not Cause.PEER
+        if cause is Cause.OWN_MOMENT and self.may_wait():
             if self.sock is not None:
                 self.sock.close()
                 self.sock = None
@@ -215,11 +217,10 @@
             return
         self.loop.soon(self.finish, NO_DESCRIPTOR if cause is Cause.OWN_DESCRIPTORS else f"connect: {text}")
 
-    def say_own(self, own):
-        if own != self.own:
-            self.own = own
-            if self.on_own is not None:
-                self.on_own(self)
+    def may_wait(self):
+        common = self.common is not None and self.common(self)
+        until_us = self.until_us if common else self.begun_us + self.timeout_us
+        return self.loop.clock.now_us() + AGAIN_US < until_us
 
     def on_ready(self, _mask):
         code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -238,8 +239,7 @@
             try:
                 stream = self.make(self.loop, self.sock)
             except (OSError, ValueError) as problem:
-                why = f"connect: {problem}"
-                self.say_own(True)
+                why, self.own = f"connect: {problem}", True
         if stream is not None:
             done(stream, None)
         else:
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -118,7 +118,7 @@
             settings, settings["family_info"]["duty_by_kind"], self.config.name, int(self.config.seed, 16),
             self.log, router)
         self.core.line_each = False
-        self.pool.on_stuck = self.core.stuck
+        self.pool.stuck.on_change = self.core.stuck
         self.rows = Rows(settings["kinds"], settings["zones"], ServerStarts(wall_clock.offset_us(self.loop.clock)))
         tenants = [str(tenant.get("name")) for tenant in settings.get("tenants") or []]
         self.front = Front(self.core, settings["groups"], tenants, lambda: bool(self.rows.rows) and not self.stopping)
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -309,7 +309,7 @@
             return self.loop.soon(done, False)
 
         def told(code, status, _report, _body):
-            refused = code in ("unreachable", "moot") or code == "done" and status in (404, 409)
+            refused = code in ("unreachable", "no_way", "moot") or code == "done" and status in (404, 409)
             done(True if code == "done" and status == 200 else False if refused else None)
         ControlCall(self, server, b"POST", ROOMS + name, 1000 * MS, told)
 
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -37,6 +37,8 @@
 RUSH_US = 1000 * MS  # half life of the count of own reqs that a rush shows in
 REPEAT = 2 | 16  # bits of a req that its client has sent before
 LATE_READS = 0.5  # own recent reads for each prefill server that tell a late attempt from a common jam
+NEVER_RAN = ("full", "unreachable", "no_way", "moot")  # outcomes that prove it
+NEVER_OUT = ("unreachable", "no_way", "moot")  # nothing has arrived
 FAILURES = ("error", "reset", "unreachable", "timed_out")
 
 
@@ -608,7 +610,7 @@
         machine.waiting.pop((rid, number), None)
         if stage != "read":
             machine.stream_tokens -= req.tokens
-            if code in ("full", "unreachable", "moot"):  # proof that it never ran
+            if code in NEVER_RAN:
                 req.ran = [r for r in req.ran if r != (machine, sent)]
         if stage != "write":
             machine.out_tokens -= forward[4]
@@ -623,10 +625,10 @@
                     ahead += req.tokens - (remark or 0) - fresh
                 self.read_well += 1
                 self.learn_read(machine, latency, ahead)
-        if code not in ("unreachable", "moot") and (
+        if code not in NEVER_OUT and (
                 stage == "read" and code != "full" or req.up_by < req.expires):  # it was out, and may hold
             req.up_by = min(req.expires, self.now + self.up_us)
-        if code not in ("timed_out", "cancelled", "moot"):
+        if code not in ("timed_out", "cancelled", "no_way", "moot"):
             machine.heard_us = self.now
             machine.answered_us = max(machine.answered_us, sent if code == "read" else 0)
         self.taken[machine.at] += code == "read"
@@ -673,7 +675,8 @@
             self.out.release(req.id)
         elif stage != "read" or code != "reset" or self.failing < 0.1:
             req.tried.add(machine.id)  # where answers get lost all over, its reader still keeps the text
-        self.spare = max(-1.0, self.spare - 1)
+        # What never left this machine is no load anywhere; could harm by five further tries of each request.
+        self.spare = max(-1.0, self.spare - (code != "no_way"))
         if self.spare < 0 or req.ran and self.groups[req.group].effect == "non-replayable":
             return self.give_up(req)
         self.write(req) if req.holder is not None else self.read(req)
--- a/tests/test_errno.py
+++ b/tests/test_errno.py
@@ -7,7 +7,9 @@
 import pytest
 from platform_door import BODY, Door, Quiet, head
 
+from lapiswing.engine import outcomes as engine_outcomes
 from lapiswing.loop import Clock, Listener, Loop, errnos, listen_socket, net
+from lapiswing.node import outcomes as node_outcomes
 
 MS, S = 1000, 1_000_000
 
@@ -238,3 +240,65 @@
     peer = {"ECONNREFUSED", "ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"}
     assert {errnos.of_connect(getattr(errno, name)) for name in peer} == {errnos.Cause.PEER}
     assert {errnos.of_transfer(getattr(errno, name)) for name in peer | {"EPIPE"}} == {errnos.Cause.PEER}
+
+
+def deaf_to(monkeypatch, address, code):
+    """Connections to one address fail at once, as where its network has no route from here."""
+    real = socket.socket
+
+    class Socket(real):
+        def connect_ex(self, to):
+            return code if to == address else super().connect_ex(to)
+
+    monkeypatch.setattr(net.socket, "socket", Socket)
+
+
+@pytest.mark.parametrize("name", ["ENETUNREACH", "EPERM", "EADDRNOTAVAIL"])
+def test_a_single_server_that_can_not_be_reached_from_here_costs_a_moment_and_not_the_request(tmp_path, monkeypatch, name):
+    with Door(tmp_path, ("both", "both")) as door:
+        one, other = door.platform.servers.values()
+        host, port = one.address.rsplit(":", 1)
+        deaf_to(monkeypatch, (host, int(port)), getattr(errno, name))
+        began_us = door.loop.clock.now_us()
+        for i in range(6):
+            client = door.ask(f"a{i}")
+            assert client.whole().status == 200
+        assert door.loop.clock.now_us() - began_us < 6 * 400 * MS
+        assert {row[0] for row in door.platform.seen(b"POST")} == {other.name}
+        door.settled()
+
+
+def test_connections_that_fail_now_and_then_are_no_common_trouble(tmp_path, monkeypatch):
+    """Each is tried again at once, nobody is told, and no age of an attempt starts anew."""
+    with Door(tmp_path, ("both", "both")) as door:
+        tries = [0]
+        real = socket.socket
+
+        class Socket(real):
+            def connect_ex(self, address):
+                tries[0] += 1
+                return errno.EADDRNOTAVAIL if tries[0] % 2 else super().connect_ex(address)
+
+        monkeypatch.setattr(net.socket, "socket", Socket)
+        clients = [door.ask(f"a{i}") for i in range(20)]
+        for client in clients:
+            assert client.whole().status == 200
+        assert not [fields for event, fields in door.log.lines if "can be opened here" in str(fields)]
+        door.settled()
+
+
+def test_a_fault_of_accept_does_not_keep_the_port_from_closing():
+    loop = Loop(Clock())
+    listener, _ = listening(loop)
+    listener.sock = Failing(listener.sock, accept=[errno.EINVAL] * 2)
+    listener.take_rest()
+    listener.close()
+    assert listener.closed
+    loop.close()
+
+
+def test_each_stage_of_a_failed_exchange_has_its_outcome_on_both_wires():
+    stages = {"local": "moot", "no way": "no_way", "connect": "unreachable", "unsent": "unreachable"}
+    may_have_run = dict.fromkeys(("sent", "head", "body"), "reset")
+    for table in (engine_outcomes, node_outcomes):
+        assert {stage: table.of_failure(stage) for stage in stages | may_have_run} == stages | may_have_run
