No decode is begun in the last moments of a request

The prefill ended 2 ms before its time, next_step sent the decode without a look at the clock (it looks after failures), and the guard answered 502 for a call without effect, which may be rejected with 503. Line: policy.py, next_step, the order of its first two lines. A test, red before.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -686,10 +686,10 @@
             del self.reqs[req.id]
 
     def next_step(self, req, machine, stage, code, remark):
-        if code == "read":
-            return self.write(req)
         if code == "moot" or req.begun is not None or self.now + self.margin_us >= req.expires:
             return self.give_up(req)
+        if code == "read":
+            return self.write(req)
         if code == "full" and stage == "write" and remark == 1:
             req.holder = None  # the state may only be cut off, and then still fills its reader
             self.out.release(req.id)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -548,3 +548,14 @@
         assert not again
     else:
         assert len(again) == 1 and int(again[0][4]) <= up_ms * MS
+
+
+@pytest.mark.parametrize("left_ms, sent", [(3, False), (40, True)])
+def test_no_decode_is_begun_in_the_last_moments_of_a_request(left_ms, sent):
+    """Found by the soak, seed 301: a prefill ended 2 ms before its request's time, the decode was sent, and the guard behind
+    the decisions answered 502 for what had had no effect."""
+    play = Play(servers=("r0", "w1"))
+    play.at(10, play.req(1, expires_ms=1000))
+    play.at(1010 - left_ms, play.outcome(1, 0, "r0", "read", 1000 - left_ms))
+    assert (len(play.sent()) == 2) == sent
+    assert len(play.sent("push_back")) == (not sent) and len(play.sent("release")) == (not sent)
