--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -30,9 +30,7 @@
 # Part of the time to let go that connections may use to come up, then each so little: a forward is not out
 # before, and the rest is the release's. Could harm where all are slow to come up.
 UP_PART, LEAST_UP_US = 0.75, 10 * MS
-# Parts of the time to let go after which a state that no decode server has answered for is taken elsewhere, and released.
-MOVE_PARTS, UNCLAIMED_PART = (0.5, 0.75), 0.92
-MOVED = 0.3  # what an attempt that was taken elsewhere for want of any word says against its server
+UNCLAIMED_PART = 0.92  # of the time to let go, after which a state is released that no decode server has answered for
 COLD_HOMES = 2  # a prefix goes to every so many-th cold reader; no one's turns grow by more, whatever is hot,
 COLD_HOT = 0.1  # and a hot one to so many that it adds this part at the most to any one's
 COLD_LONG = 1.5  # part of what the rule allows for chance that a prompt may take where no server is warm
@@ -61,8 +59,7 @@
         self.cold_from, self.cold_us = rules["cold_from"], rules["ramp_time_us"] * 1.2
         self.fall_us = rules["overload_for_us"]  # the window in which a cold server's work is counted
         let_go_us = family.get("let_go_by_us") or 500 * MS
-        self.up_us = int(let_go_us * UP_PART)
-        self.looks_us = [int(let_go_us * part) for part in (*MOVE_PARTS, UNCLAIMED_PART)]  # at a state, from its begin
+        self.up_us, self.unclaimed_us = int(let_go_us * UP_PART), int(let_go_us * UNCLAIMED_PART)
         self.asks = settings.get("membership_mode") == "subscribe"
         self.quota = [t.get("quota_rps", 0) / self.gateways for t in settings.get("tenants") or []]
         self.spare, self.pause_us = 10.0, 1000 * MS  # forwards to spare; between two trials of a suspect
@@ -533,35 +530,18 @@
 
     def watch_claim(self, req, number):
         """Has a state looked after that an attempt at a decode server is to fetch."""
-        held = self.now - req.held_us
-        look = next((us for us in self.looks_us if us > held), held + MS)
         self.claims += 1
         self.unclaimed[self.claims] = req.id, number
-        self.out.timer(look - held, self.claims)
+        self.out.timer(max(MS, req.held_us + self.unclaimed_us - self.now), self.claims)
 
     def look_at_claim(self, token):
         """Guards against an attempt that never arrived, on a connection that has fallen silent: it is not out, and the
-        state's time runs on. While there is time the state goes elsewhere, where nothing was heard of that server and it
-        takes far longer than usual; then it is released, which drops only what no attempt waits for. Could harm by that
-        message, and by a new prefill where the attempt arrives just behind it."""
+        state's time runs on. A release drops only what no attempt waits for, so it does no harm to one that has arrived;
+        could harm by its message, and by a new prefill where the attempt arrives just behind it."""
         rid, number = self.unclaimed.pop(token, (None, None))
         req = self.reqs.get(rid)
-        if req is None or req.closed or req.begun is not None or not req.forwards[number][3]:
-            return
-        if self.now - req.held_us >= self.looks_us[-1]:
-            return self.out.release_unclaimed(rid)
-        machine, _, sent, *_ = req.forwards[number]
-        if not self.may_move(req, machine, sent):
-            return self.watch_claim(req, number)
-        self.mark(machine, MOVED, f"silent for {(self.now - sent) // MS} ms, usual {self.wait_mean / MS:.0f}")
-        self.out.retract(rid, number)
-
-    def may_move(self, req, machine, sent):
-        """Whether an attempt at a silent decode server is better sent to another. In a common jam the usual wait is long."""
-        others = [w for w in self.writers if w is not machine and self.usable(w, req) and not w.cold and not w.suspect]
-        return bool(others) and self.groups[req.group].effect == "replayable" and self.may_cancel and (
-            machine.heard_us < sent and self.now - sent > 3 * self.wait_mean) and (
-            self.spare >= 1 and len(req.forwards) < self.most_forwards - 1)
+        if req is not None and not req.closed and req.begun is None and req.forwards[number][3]:
+            self.out.release_unclaimed(rid)
 
     def give_up(self, req, come_back_us=1 << 40):
         """The final answer at once, and whatever is held let go."""
