A start that finds its configuration half written reads it again for two seconds

The signal's path had its mend, the start had not. Node.__init__ reads once. Two tests; the method is new, so that they fail without it.

--- a/lapiswing/node/config.py
+++ b/lapiswing/node/config.py
@@ -15,6 +15,7 @@
 
     def __init__(self, path, field, reason):
         super().__init__(path, f"{field}: {reason}")
+        self.field = field
 
 
 class Limits(msgspec.Struct):
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -2,6 +2,7 @@
 import gc
 import resource
 import signal
+import time
 from typing import NamedTuple
 
 import msgspec
@@ -33,6 +34,7 @@
 OWN = 24  # descriptors for the loop, the listener, logs and discovery
 LISTEN_US, LISTEN_AGAIN_US = 8000 * MS, 50 * MS  # a port that is taken is waited for; restarts have 10 s to be ready
 RELOADS, RELOAD_AGAIN_US = 30, 100 * MS  # tries to read a changed configuration; it counts 4 s after the signal
+START_READS = 20  # further ones of a configuration that is no whole file, as a process starts
 LINES, LINES_S = 200, 5  # of the log: at once, and a second
 
 
@@ -130,6 +132,19 @@
         self.waits_for_port = False
         self.stopping, self.stopped_us = False, 0
 
+    @classmethod
+    def when_configured(cls, path, log):
+        """A Node, once the configuration can be read: a file that is being written just now is read again for a moment. Raises
+        ConfigError on what stays bad, and at once on a field that has a fault."""
+        for _ in range(START_READS):
+            try:
+                return cls(path, log)
+            except configs.ConfigError as problem:
+                if problem.field != "file":
+                    raise
+            time.sleep(RELOAD_AGAIN_US / 1e6)
+        return cls(path, log)
+
     def start(self):
         """Learns what is known, asks discovery and listens, now or as soon as the port can be had."""
         self.take_known()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -86,3 +86,30 @@
             node.run()
         taken.close()
         node.close()
+
+
+def test_a_start_that_finds_its_configuration_half_written_reads_it_again(tmp_path, monkeypatch):
+    """Found by the soak, seed 404: a file that was being replaced as a process started ended it with status 2."""
+    with Door(tmp_path, ("both", "both")) as door:
+        path, port = configured(tmp_path, door)
+        whole = path.read_text()
+        path.write_text(whole[: len(whole) // 3])
+        reads = []
+
+        def read(file):
+            reads.append(file)
+            if len(reads) == 3:
+                path.write_text(whole)
+            return real(file)
+
+        real = configs.load
+        monkeypatch.setattr(configs, "load", read)
+        node = Node.when_configured(str(path), Quiet())
+        assert node.config.listen.endswith(str(port)) and len(reads) == 3
+        node.close()
+
+
+def test_a_start_whose_configuration_stays_bad_ends_with_its_reason(tmp_path):
+    (tmp_path / "own.json").write_text("{")
+    with pytest.raises(configs.ConfigError, match="not JSON"):
+        Node.when_configured(str(tmp_path / "own.json"), Quiet())
