Soak: the time that a gateway had no processor is measured, and not put down to it

The observer now reads /proc/PID/schedstat each 50 ms, and what a gateway's process waited in between is slack of that one check.

--- a/lapiswing/lab/soak/process.py
+++ b/lapiswing/lab/soak/process.py
@@ -132,6 +132,13 @@
     def descriptors(self):
         return len(os.listdir(f"/proc/{self.program.pid}/fd"))
 
+    def waited_us(self):
+        """Time that its process has spent ready to run, without a processor (proc(5), schedstat)."""
+        try:
+            return int(Path(f"/proc/{self.program.pid}/schedstat").read_text().split()[1]) // 1000
+        except (OSError, IndexError, ValueError):
+            return 0
+
     def processor_s(self):
         fields = Path(f"/proc/{self.program.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- a/lapiswing/lab/soak/records.py
+++ b/lapiswing/lab/soak/records.py
@@ -94,6 +94,7 @@
     broken_us: dict = field(default_factory=dict)  # server -> [(from, to)] in which its streams may end early
     troubles: list = field(default_factory=list)
     cut_off: list = field(default_factory=list)  # (gateway, from, to) in which it may not be able to open connections
+    starved: list = field(default_factory=list)  # (gateway, when, us that its process waited for a processor before that)
     second_copies: dict = field(default_factory=dict)  # by gateway, whether its settings allow them
     runner_late_us: int = 0  # the longest turn of the observer itself: its own slack
 
