--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -11,6 +11,7 @@
 from lapiswing.errors import CantListen
 from lapiswing.loop import Clock, Loop, free_ports
 from lapiswing.node import config as configs
+from lapiswing.node import serve
 from lapiswing.node.serve import Node
 
 MS, S = 1000, 1_000_000
@@ -42,12 +43,14 @@
         assert sum("can't be read" in event for event, _ in door.log.lines) == 1
 
 
-def test_a_configuration_that_stays_bad_leaves_the_last_one_and_is_not_tried_for_good(tmp_path):
+def test_a_configuration_that_stays_bad_leaves_the_last_one_and_is_not_tried_for_good(tmp_path, monkeypatch):
+    monkeypatch.setattr(Node.reload, "__defaults__", (5,))
+    monkeypatch.setattr(serve, "RELOADS", 5)
     with Door(tmp_path, ("both", "both")) as door:
         old = door.node.discovery.address
         door.path.write_text("{")
         door.node.reload()
-        door.loop.run_until(lambda: False, 4 * S)
+        door.loop.run_until(lambda: False, S)
         assert door.node.discovery.address == old and door.node.reloading is None
         assert door.ask("a1").whole().status == 200
 
@@ -76,7 +79,8 @@
         node.close()
 
 
-def test_a_port_that_stays_taken_ends_the_start_with_the_reason(tmp_path):
+def test_a_port_that_stays_taken_ends_the_start_with_the_reason(tmp_path, monkeypatch):
+    monkeypatch.setattr(serve, "LISTEN_US", 400 * MS)
     with Door(tmp_path, ("both", "both")) as door:
         path, port = configured(tmp_path, door)
         taken = socket.create_server(("127.0.0.1", port))
@@ -109,7 +113,8 @@
         node.close()
 
 
-def test_a_start_whose_configuration_stays_bad_ends_with_its_reason(tmp_path):
+def test_a_start_whose_configuration_stays_bad_ends_with_its_reason(tmp_path, monkeypatch):
+    monkeypatch.setattr(serve, "START_READS", 3)
     (tmp_path / "own.json").write_text("{")
     with pytest.raises(configs.ConfigError, match="not JSON"):
         Node.when_configured(str(tmp_path / "own.json"), Quiet())
