Soak: one way to tell a gateway of a configuration, also of a half-written one

On the last read: the half-written form sent its own SIGHUP without looking whether the shell still runs in the program's place, beside reload, which looks. One constant was dead. ruff clean, 28 tests of the soak passed.

--- a/lapiswing/lab/soak/day.py
+++ b/lapiswing/lab/soak/day.py
@@ -22,7 +22,6 @@
 FIRST_PORT, PORTS_A_DAY, DAYS_BESIDE = 10_000, 40, 500
 STARVED_LOOK_US, LEAST_STARVED_US = 50 * MS, 2 * MS
 FREEZE_US = 120 * MS
-BACK_US = 700 * MS
 ERRNOS = (
     ("accept", errno.ECONNABORTED),
     ("accept", errno.ENFILE),
@@ -169,12 +168,10 @@
         gateway = self.gateway(trouble)
         old = gateway.agent
         gateway.agent = self.move_agent(gateway)
-        if trouble.draw < 0.3:
-            gateway.write_config(whole=False)
-            gateway.send(signal.SIGHUP)
+        whole = trouble.draw >= 0.3
+        gateway.reload(whole)
+        if not whole:
             self.loop.call_later(150 * MS, gateway.write_config)
-        else:
-            gateway.reload()
         if trouble.draw > 0.7:
             self.loop.call_later(30 * MS, gateway.reload)
         self.loop.call_later(4 * S, self.end_agent, old)
--- a/lapiswing/lab/soak/process.py
+++ b/lapiswing/lab/soak/process.py
@@ -123,9 +123,9 @@
         if then is not None:
             then()
 
-    def reload(self):
+    def reload(self, whole=True):
         """Tells the program, never the shell before it, which has the signal's default action."""
-        self.write_config()
+        self.write_config(whole)
         if self.alive() and self.program_runs():
             self.send(signal.SIGHUP)
 
