Review case 1: a late second answer is served to another client's request

The case shows a 200 whose events all belong to another client's request, after a second answer that came 4 to 9 ms late. At fault: Pool.reuse (http1/client.py) counts the 20 ms of rest from the start of the loop's turn, so that a long turn uses them up before the answer has ended.

--- a/review/standins.py
+++ b/review/standins.py
@@ -114,6 +114,7 @@
 
     def __init__(self, record):
         self.record, self.held, self.servers, self.sent_ids = record, {}, [], set()
+        self.any_id = False  # whether the ids that clients sent are not known here
 
     async def add(self, name, role, **kept):
         server = await ModelServer(self, name, role, **kept).start()
@@ -128,6 +129,7 @@
         self.fleet, self.name, self.role = fleet, name, role
         self.read_s, self.events, self.pause_s, self.zone, self.group = read_s, events, pause_s, zone, group
         self.status, self.since_ms, self.runs = "SERVING", 0, []
+        self.begun = {}  # connection -> how many answers have begun on it
 
     def row(self):
         return {
@@ -151,7 +153,7 @@
         rid = headers.get("req-id")
         if rid is None:
             return writer.write(message(404, "Not Found"))
-        if rid not in fleet.sent_ids:
+        if not fleet.any_id and rid not in fleet.sent_ids:
             record(f"{self.name} unknown id {rid}")
             return writer.write(message(400, "Bad Request"))
         self.runs.append(rid)
@@ -163,6 +165,7 @@
             return writer.write(message(202, "Accepted", answer, "Content-Type: application/json"))
         if fleet.held.pop(rid, None) is None:
             return writer.write(message(410, "Gone", b"", "Srv-Declined: 1"))
+        self.begun[writer] = self.begun.get(writer, 0) + 1
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
         for block in self.blocks(rid):
             writer.write(b"%x\r\n%b\r\n" % (len(block), block))
