--- a/review/2/case.py
+++ b/review/2/case.py
@@ -96,4 +96,5 @@
     return not lost
 
 
-run(case, Path(__file__).parent)
+if __name__ == "__main__":
+    run(case, Path(__file__).parent)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -117,4 +117,5 @@
     return not platform.killed
 
 
-run(case, Path(__file__).parent)
+if __name__ == "__main__":
+    run(case, Path(__file__).parent)
