--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,10 +6,10 @@
 import time
 from pathlib import Path
 
-from standins import TROUBLE, Discovery, Fleet, Gateway, read_answer, request, run, settings
+from standins import ROLES, TROUBLE, Discovery, Fleet, Gateway, read_answer, request, run, settings
 
 USUAL_CLIENTS, DEADLINE_S, LATEST_S = 4, 5.0, 5.0 + 0.5 + 0.05
-BAD_CLIENTS, BODY_BYTES, BAD_OWED_S = 120, 256 * 1024, 3.0
+BAD_CLIENTS, BODY_BYTES, BAD_OWED_S = 150, 256 * 1024, 3.0
 TROUBLE_AT_S, LAST_REQUEST_S, GIVE_UP_S = 3.0, 12.0, 60.0
 
 
@@ -65,7 +65,7 @@
 
 async def case(record):
     discovery, fleet = await Discovery(record).start(), Fleet(record)
-    for name, role in (("r1", "read"), ("r2", "read"), ("w1", "write"), ("w2", "write")):
+    for name, role in ROLES:
         server = await fleet.add(name, role)
         discovery.rows[name] = server.row()
     gateway = Gateway(record, discovery, {"cores": 1.0, "memory_mb": 192, "sockets": 512}, settings())
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-from standins import TROUBLE, Discovery, Fleet, Gateway, read_answer, request, run, settings
+from standins import ROLES, TROUBLE, Discovery, Fleet, Gateway, read_answer, request, run, settings
 
 USUAL_CLIENTS, DEADLINE_S = 4, 5.0
 MEMORY_MB, SOCKETS = 128, 1024
@@ -85,7 +85,7 @@
 
 async def case(record):
     discovery, fleet = await Discovery(record).start(), Fleet(record)
-    for name, role in (("r1", "read"), ("r2", "read"), ("w1", "write"), ("w2", "write")):
+    for name, role in ROLES:
         server = await fleet.add(name, role)
         discovery.rows[name] = server.row()
     gateway = Gateway(record, discovery, {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}, settings())
--- a/review/standins.py
+++ b/review/standins.py
@@ -116,8 +116,11 @@
         self.record, self.held, self.servers, self.sent_ids = record, {}, [], set()
         self.any_id = False  # whether the ids that clients sent are not known here
 
+    make = None  # what makes a server; ModelServer if nothing else
+
     async def add(self, name, role, **kept):
-        server = await ModelServer(self, name, role, **kept).start()
+        number = len(self.servers) % len(ZONES)
+        server = await self.make(self, name, role, zone=ZONES[number], group=number, **kept).start()
         self.servers.append(server)
         return server
 
@@ -125,11 +128,11 @@
 class ModelServer(HttpServer):
     """A reader or a writer. `read_s`: time of a read; `events` of a stream, `pause_s` between them."""
 
-    def __init__(self, fleet, name, role, read_s=0.01, events=3, pause_s=0.005, zone="a", group=0):
+    def __init__(self, fleet, name, role, read_s=0.01, events=3, pause_s=0.005, zone=None, group=0):
         self.fleet, self.name, self.role = fleet, name, role
         self.read_s, self.events, self.pause_s, self.zone, self.group = read_s, events, pause_s, zone, group
         self.status, self.since_ms, self.runs = "SERVING", 0, []
-        self.begun = {}  # connection -> how many answers have begun on it
+        self.begun, self.open = {}, 0  # connection -> how many answers have begun on it; requests in hand
 
     def row(self):
         return {
@@ -143,8 +146,14 @@
             "since_ms": self.since_ms,
         }
 
+    def load(self):
+        """The load report that goes with an answer."""
+        return f"Srv-Load: TEXT inflight={self.open}, queue=0, x0={min(1.0, self.open / 100):.2f}, x1=0.00"
+
     async def answer(self, method, target, headers, body, writer):
         record, fleet = self.fleet.record, self.fleet
+        if target in ("/-/healthy", "/-/load"):
+            return writer.write(message(200, "OK", self.load()[10:].encode(), self.load()))
         if target.startswith("/bootstrap/rooms/"):
             if method == "DELETE":
                 fleet.held.pop(target.rpartition("/")[2], None)
@@ -158,13 +167,22 @@
             return writer.write(message(400, "Bad Request"))
         self.runs.append(rid)
         record(f"{self.name} {self.role} {rid} deadline {headers.get('req-deadline')}")
+        self.open += 1
+        try:
+            await self.run(rid, writer)
+        finally:
+            self.open -= 1
+
+    async def run(self, rid, writer):
+        """Reads a prompt, or writes the answer to one that was read."""
+        fleet = self.fleet
         if self.role == "read":
             await asyncio.sleep(self.read_s)
             fleet.held[rid] = self
             answer = json.dumps({"cached_tokens": 0}).encode()
-            return writer.write(message(202, "Accepted", answer, "Content-Type: application/json"))
+            return writer.write(message(202, "Accepted", answer, "Content-Type: application/json", self.load()))
         if fleet.held.pop(rid, None) is None:
-            return writer.write(message(410, "Gone", b"", "Srv-Declined: 1"))
+            return writer.write(message(410, "Gone", b"", "Srv-Declined: 1", self.load()))
         self.begun[writer] = self.begun.get(writer, 0) + 1
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
         for block in self.blocks(rid):
@@ -182,44 +200,51 @@
         usage = {"prompt_tokens": 100, "completion_tokens": self.events, "prompt_tokens_details": {"cached_tokens": 0}}
         yield b"data: %b\n\n" % json.dumps({"choices": [], "usage": usage}).encode()
         yield b"data: [DONE]\n\n"
+        yield f": {self.load()}\n\n".encode()
+
+
+Fleet.make = ModelServer
+ZONES = ("ba-ruzinov", "ba-petrzalka")
+ROLES = tuple((f"r{i}", "read") for i in range(5)) + tuple((f"w{i}", "write") for i in range(5))  # "servers = [10, 13]"
+
+
+def request_class(name, deadline_ms, on_time_ms, value):
+    return {
+        "DeadlineMs": deadline_ms,
+        "Effect": "retryable",
+        "Group": "all",
+        "LateWorth": 0.3,
+        "MemorySpanMs": 5000.0,
+        "Name": name,
+        "OnTimeMs": on_time_ms,
+        "Stream": True,
+        "Value": value,
+    }
 
 
-def settings(classes=None, **limits):
-    """Settings of a small deployment, in the form and within the ranges of the site file."""
+def settings():
+    """Settings of a small deployment: the figures of the site file obedar-chat.toml, or out of its ranges."""
     return {
         "Az": 0,
         "Balancers": 2,
         "Callers": {"MarksRetry": True},
-        "Classes": classes
-        or [
-            {
-                "DeadlineMs": 5000.0,
-                "Effect": "retryable",
-                "Group": "all",
-                "LateWorth": 0.3,
-                "MemorySpanMs": 5000.0,
-                "Name": "menu-question",
-                "OnTimeMs": 1200.0,
-                "Stream": True,
-                "Value": 1.0,
-            }
-        ],
+        "Classes": [request_class("menu-question", 5000.0, 1200.0, 1.0), request_class("order-set", 7500.0, 1500.0, 2.0)],
         "Family": "twostage",
         "FamilyInfo": {
-            "AimUsPer1000PromptTokens": [40000.0],
-            "DutyByKind": ["read", "write"],
+            "AimUsPer1000PromptTokens": [40000.0, 40000.0],
+            "DutyByKind": ["read", "write", "both"],
             "FarPrice": 0.04,
-            "KindMemoryTokens": [264519, 156363],
+            "KindMemoryTokens": [264519, 156363, 200139],
             "LetGoByMs": 500.0,
             "MayReserve": True,
             "ReadInPlace": False,
             "ReportX0": "share of memory that is held",
             "ReportX1": "thousands of prompt tokens waiting to be read or fetched",
             "Resume": False,
-            "TokenAimMs": [60.0],
+            "TokenAimMs": [60.0, 70.0],
         },
         "Goal": {"Whole": 0.6, "WorstClass": 0.2, "WorstTenant": 0.0, "WorstWindow": 0.2},
-        "Kinds": ["prefill", "decode"],
+        "Kinds": ["prefill", "decode", "mixed"],
         "Limits": {
             "Cancel": True,
             "ConnIdleMs": 15000.0,
@@ -229,18 +254,17 @@
             "MaxAttempts": 6,
             "MaxRetryAfterMs": 1000.0,
             "MostHeld": 20000,
-            "Multiplex": 1,
+            "Multiplex": 100,
             "PeerMessages": False,
-            "Probes": False,
+            "Probes": True,
             "RetryAfter": True,
             "SecondCopies": True,
-            **limits,
         },
         "Me": 0,
         "MembershipMode": "automatic",
         "OverShareWorth": 0.1,
         "Penalties": {"CrossZone": 0.02, "LateFail": 0.08, "Probe": 0.003, "Waste": 0.032},
-        "Report": {"How": "off", "Names": []},
+        "Report": {"How": "inline", "Names": ["inflight", "queue", "x0", "x1"]},
         "ResolutionMs": 4.0,
         "Rules": {
             "AnswerSlackMs": 16.0,
@@ -256,7 +280,7 @@
         "Tiers": ["model-fleet"],
         "Weights": "off",
         "WorthBy": "work",
-        "Zones": ["a"],
+        "Zones": list(ZONES),
     }
 
 
