A turn of the loop has a budget, and a chunked body costs by its chunks, not by its bytes

Cause, two parts. Connection.parse_body fed the parser line by line (server.py, parse_body and line_length), a step of 0.9 us for each byte that is a line end: 0.27 s for 256 KiB. And nothing bounded a turn: Loop.turn handled all ready sockets, each of up to four reads of 64 KiB, and Connection.parse went through all requests of a read. Ruled out: the JSON decoder and copying (the same bodies with a length are answered at once, report).

Now ChunkedDecoder searches line ends only where the coding has them, and limits framing; a connection has at most one request parsed at a time; a turn spends 5 ms on clients and 5 ms on other sockets, those that have cost the least go first, and input that waited counts from when it came. Empty lines before a request (16) and header fields of a head have limits; a head that comes in pieces is not searched again from its start.

--- a/lapiswing/gateway/fronts/websocket.py
+++ b/lapiswing/gateway/fronts/websocket.py
@@ -19,13 +19,14 @@
 from lapiswing.chat.call import call_from_value
 from lapiswing.chat.errors import failed, rejected
 from lapiswing.gateway.fronts.mapping import UnknownApiKey
-from lapiswing.http1.wire import tokens
+from lapiswing.http1.wire import has_token
 from lapiswing.sessions import Book, Limits, Tokens
 from lapiswing.settings import settings_pb2 as pb
 
 MS = 1000
 PROTOCOL = "lapiswing.chat.v1"
 MAX_TURN_BYTES = 262144  # sent to all sessions in one turn of the loop
+MAX_EVENTS_PER_CALL = 64  # of one connection, as tiny frames cost far more than their bytes
 RETRY_ADVICE = {
     pb.REPLAYABLE: "It is safe to call again.",
     pb.KEYED: "Call again with the same Idempotency-Key within its window, at the same gateway if it lives.",
@@ -86,7 +87,7 @@
 
         if exchange.method != b"GET":
             return refuse(405, "Method not allowed", "method_not_allowed", [(b"allow", b"GET")])
-        if b"websocket" not in tokens(exchange.fields, b"upgrade"):
+        if not has_token(exchange.fields, b"upgrade", b"websocket"):
             return refuse(
                 426, "This path speaks WebSocket.", "upgrade_required", [(b"upgrade", b"websocket"), (b"connection", b"Upgrade")]
             )
@@ -225,19 +226,41 @@
         self.last_received_us = self.loop.now
         try:
             self.protocol.receive_data(data)
-            for event in self.protocol.events():
+        except ProtocolError as error:
+            return self.protocol_error(error)
+        if not self.events_put_off:
+            self.handle_events()
+
+    def handle_events(self):
+        """Handles some of the events in what was received, and puts the others off, as does a connection with many requests."""
+        self.events_put_off = False
+        if self.stream.closed or self.closing and not self.awaits_close:
+            return
+        try:
+            for number, event in enumerate(self.protocol.events(), 1):
                 if self.awaits_close:
                     if isinstance(event, CloseConnection):
-                        self.close_stream()
+                        return self.close_stream()
+                else:
+                    self.handle_event(event)
+                    if self.closing and not self.awaits_close:
                         return
-                    continue
-                self.handle_event(event)
-                if self.closing and not self.awaits_close:
-                    return
+                if number == MAX_EVENTS_PER_CALL:
+                    self.events_put_off = True
+                    self.stream.pause()
+                    return self.loop.put_off_call(self.stream, self.handle_events)
         except ProtocolError as error:
-            hint = getattr(error, "event_hint", None)
-            code = hint.code if isinstance(hint, CloseConnection) else 1002
-            self.close(code, str(error)[:100])
+            return self.protocol_error(error)
+        if not self.stream.reading and not self.stream.full:
+            self.stream.resume()
+
+    events_put_off = False  # whether `handle_events` will be called
+
+    def protocol_error(self, error):
+        """Closes the connection after an invalid frame."""
+        hint = getattr(error, "event_hint", None)
+        code = hint.code if isinstance(hint, CloseConnection) else 1002
+        self.close(code, str(error)[:100])
 
     def handle_event(self, event):
         """Handles an event of the WebSocket protocol."""
@@ -286,7 +309,8 @@
             self.front.book.connection_lost(session, self.loop.now)
 
     def on_drained(self):
-        self.stream.resume()
+        if not self.events_put_off:
+            self.stream.resume()
         if self.session is not None:
             self.front.book.set_writable(self.session, True)
             self.resume_streams()
--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -4,10 +4,11 @@
 
 import httptools
 
-from lapiswing.http1.wire import STATUS_LINE, ProtocolError, check_framing, request_head, split_head, tokens
+from lapiswing.http1.wire import STATUS_LINE, ProtocolError, check_framing, has_token, request_head, split_head
 from lapiswing.loop import NO_DESCRIPTOR, connect
 
 HEAD_BYTES = 65536  # limit of an answer's head
+MAX_INTERIM_ANSWERS = 32  # 1xx answers before the answer to a request
 WIDESPREAD_AFTER_US = 60_000  # long enough for three attempts to connect
 
 
@@ -79,6 +80,8 @@
         self.exchange, exchange.conn = exchange, self
         self.buffer, self.parser, self.body_left, self.complete, self.reusable = bytearray(), None, None, False, True
         self.in_chunk = False
+        self.interim_answers = 0
+        self.searched_bytes = 0  # of the buffer, in which the end of the head does not begin
         self.sent_before = self.stream.sent
         head, body = exchange.make_head(), exchange.body
         exchange.size = len(head) + len(body)
@@ -110,24 +113,27 @@
     def parse_head(self):
         """-> the bytes after the head, None while the head is incomplete. Raises ProtocolError."""
         while True:
-            end = self.buffer.find(b"\r\n\r\n")
+            end = self.buffer.find(b"\r\n\r\n", self.searched_bytes)
             if end > HEAD_BYTES or end < 0 and len(self.buffer) > HEAD_BYTES:
                 raise ProtocolError("the head is too long")
             if end < 0:
                 # Fails early on what can't become a status line, instead of collecting 64 KB of it.
                 if not (b"HTTP/1."[: len(self.buffer)] == self.buffer[:7]):
                     raise ProtocolError("not an HTTP answer")
+                self.searched_bytes = max(0, len(self.buffer) - len(b"\r\n\r"))
                 return None
             line, fields = split_head(bytes(self.buffer[:end]), STATUS_LINE)
-            rest = bytes(self.buffer[end + 4 :])
+            del self.buffer[: end + 4]
+            self.searched_bytes = 0
             status = int(line[9:12])
-            if 100 <= status < 200 and status != 101:
-                self.buffer = bytearray(rest)
-                continue
-            break
-        self.buffer = bytearray()
+            if not 100 <= status < 200 or status == 101:
+                break
+            self.interim_answers += 1
+            if self.interim_answers > MAX_INTERIM_ANSWERS:
+                raise ProtocolError("too many interim answers")
+        rest, self.buffer = bytes(self.buffer), bytearray()
         length = check_framing(fields, False)
-        if line[5:8] != b"1.1" or b"close" in tokens(fields, b"connection"):
+        if line[5:8] != b"1.1" or has_token(fields, b"connection", b"close"):
             self.reusable = False
         if status in (204, 304):
             length = 0
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -3,14 +3,15 @@
 from collections import deque
 from dataclasses import dataclass
 
-import httptools
 import orjson
 
-from lapiswing.http1.wire import REQUEST_LINE, ProtocolError, check_framing, chunk, get, response_head, split_head, tokens
+from lapiswing.http1.chunked import ChunkedDecoder
+from lapiswing.http1.wire import REQUEST_LINE, ProtocolError, check_framing, chunk, get, has_token, response_head, split_head
 
 MAX_ROOM_CANDIDATES = 64  # connections examined in one search for room
 ARRIVAL_MERGE_US = 10_000  # reads closer together count as one, at the earlier time
 REFUSAL_READ_BYTES = 65536  # closing with unread bytes would reset the connection and destroy the answer
+MAX_EMPTY_LINES = 16  # before a request
 MIN_PIPELINED_BYTES = 4096  # each connection may buffer this much behind an open request, whatever the others do
 
 
@@ -46,7 +47,9 @@
         self.body, self.begun, self.over, self.chunked = b"", False, False, False
         self.arrived_us = conn.server.loop.now  # earliest time at which its first byte can have arrived
         self.keep_alive = (
-            b"close" not in tokens(fields, b"connection") if version == b"1.1" else b"keep-alive" in tokens(fields, b"connection")
+            not has_token(fields, b"connection", b"close")
+            if version == b"1.1"
+            else has_token(fields, b"connection", b"keep-alive")
         )
 
     def header(self, name, default=None):
@@ -156,9 +159,12 @@
     def __init__(self, server, stream, peer):
         self.server, self.stream, self.peer = server, stream, peer
         self.buffer, self.arrivals, self.current = bytearray(), Arrivals(), None
-        self.accepted_turn, self.accepted_us = server.loop.turns, server.loop.ready_since_us
-        self.incoming = self.parser = None  # the request whose body is being received
-        self.body_left = 0  # bytes of that body still to come
+        self.incoming = None  # the request whose body is being received
+        self.body, self.body_left = bytearray(), 0  # of a body with a length: what has come, and the bytes still to come
+        self.decoder = None  # of a chunked body
+        self.empty_lines = 0  # read before the next request
+        self.searched_bytes = 0  # of the buffer, in which the end of the next head does not begin
+        self.parsing_later = False  # whether `parse_later` will be called
         self.phase_since_us = self.opened_us = server.loop.now
         self.served = False  # whether a whole request has been received
         self.refused_early = False  # whether a request was refused before it was complete
@@ -173,10 +179,14 @@
         if not self.buffer:
             self.arrivals.clear()
         self.buffer += data
-        self.arrivals.add(len(data), self.ready_since_us())
+        self.arrivals.add(len(data), self.server.loop.ready_since_us)
+        limits = self.server.limits
+        if self.parsing_later:
+            if len(self.buffer) > limits.pipelined_bytes:
+                self.stream.pause()  # until its turn has come
+            return
         if self.current is None:
             return self.parse()
-        limits = self.server.limits
         if len(self.buffer) > limits.pipelined_bytes or len(self.buffer) > MIN_PIPELINED_BYTES and self.server.pipelining_full():
             # Keeps reading, to notice when the client leaves, but discards the input to bound memory. A client that sends
             # far ahead has to repeat the requests behind this one.
@@ -188,41 +198,56 @@
             if self.discarded_bytes > limits.pipelined_bytes + limits.head_bytes + limits.body_bytes:
                 self.stream.abort()
 
-    def ready_since_us(self):
-        """-> when the data being read can have arrived at the earliest; on a new connection, while it waited for accept."""
-        loop = self.server.loop
-        return self.accepted_us if loop.turns - self.accepted_turn <= 1 else loop.ready_since_us
-
     def parse(self):
-        """Parses buffered input until a request is being answered or more input is needed."""
+        """Parses at most one request from the buffered input. What is behind it waits for its turn among all connections, as
+        many small requests in one read would otherwise hold up the others."""
         try:
-            while self.current is None and self.buffer and not self.stream.closed and not self.stream.closing:
-                if self.incoming is None and not self.parse_head():
-                    return
-                if self.incoming is not None and not self.parse_body():
-                    return
+            if self.incoming is None and not self.parse_head():
+                return
+            if self.incoming is not None and not self.parse_body():
+                return
         except ProtocolError as problem:
-            self.refuse(problem.status, str(problem))
-        except httptools.HttpParserError as problem:
-            self.refuse(400, f"malformed body: {problem}")
+            return self.refuse(problem.status, str(problem))
+        self.parse_rest()
+
+    def parse_rest(self):
+        """Has the buffered input parsed later if no request is being answered."""
+        if self.current is None and self.buffer and not self.parsing_later:
+            self.parsing_later = True
+            self.enter_phase("head")
+            self.server.loop.put_off_call(self.stream, self.parse_later)
+
+    def parse_later(self):
+        """Parses from the loop."""
+        self.parsing_later = False
+        if self.stream.closed or self.stream.closing:
+            return
+        if self.current is None and self.buffer:
+            self.parse()
+        if not self.stream.reading and (not self.parsing_later or len(self.buffer) <= self.server.limits.pipelined_bytes):
+            self.stream.resume()
 
     def parse_head(self):
         """-> whether a whole head was parsed. Raises ProtocolError."""
         limits = self.server.limits
         while self.buffer[:2] == b"\r\n":  # RFC 9112, 2.2: empty lines before a request are ignored
             del self.buffer[:2]
-        end = self.buffer.find(b"\r\n\r\n")
+            self.empty_lines += 1
+            if self.empty_lines > MAX_EMPTY_LINES:
+                raise ProtocolError("too many empty lines before a request")
+        end = self.buffer.find(b"\r\n\r\n", self.searched_bytes)
         if end < 0 and len(self.buffer) > limits.head_bytes or end > limits.head_bytes:
             raise ProtocolError("the head is too long", 431)
         if end < 0:
-            if b"\n\n" in self.buffer:
+            if self.buffer.find(b"\n\n", self.searched_bytes) >= 0:
                 raise ProtocolError("bare CR or LF in the head")
-            if self.buffer:
-                self.enter_phase("head")
+            self.searched_bytes = max(0, len(self.buffer) - len(b"\r\n\r"))
+            self.enter_phase("head" if self.buffer else "idle")
             return False
         line, fields = split_head(bytes(self.buffer[:end]), REQUEST_LINE)
         arrived_us = self.arrivals.earliest(len(self.buffer))
         del self.buffer[: end + 4]
+        self.empty_lines = self.searched_bytes = 0
         method, target, version = line.split(b" ")
         version = version[5:]
         length = check_framing(fields, True)
@@ -240,10 +265,11 @@
                 self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.incoming = Exchange(self, method, target, fields, version)
         self.incoming.arrived_us = arrived_us
-        self.body_left, self.parts, self.size, self.body_complete = length or 0, [], 0, False
+        self.body, self.body_left = bytearray(), 0
         if length == "chunked":
-            self.parser = httptools.HttpRequestParser(self)
-            self.parser.feed_data(b"POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n")
+            self.decoder = ChunkedDecoder(limits.body_bytes)
+        else:
+            self.body_left = length or 0
         if not length:
             self.handle()
         else:
@@ -251,54 +277,26 @@
         return True
 
     def parse_body(self):
-        """-> whether the body is complete. Raises ProtocolError and HttpParserError."""
-        if self.parser is not None:
-            # Fed in pieces, as the bytes after the last chunk belong to the next request.
-            data = bytes(self.buffer)
-            self.buffer.clear()
-            start = 0
-            while start < len(data) and not self.body_complete:
-                # At most up to the end of a line, so that the parser is never fed beyond the end of this body.
-                length = self.line_length(data, start)
-                self.parser.feed_data(data[start : start + length])
-                start += length
-            self.buffer += data[start:]
-            if not self.body_complete:
+        """-> whether the body is complete. Raises ProtocolError."""
+        if self.decoder is not None:
+            if not self.decoder.decode(self.buffer):
                 return False
-            self.parser = None
+            self.body, self.decoder = self.decoder.body, None
         else:
-            part = bytes(self.buffer[: self.body_left])
+            part = self.buffer[: self.body_left]
             del self.buffer[: len(part)]
-            self.parts.append(part)
+            self.body += part
             self.body_left -= len(part)
             if self.body_left:
                 return False
         self.handle()
         return True
 
-    def line_length(self, data, start):
-        end = data.find(b"\n", start)
-        return (len(data) if end < 0 else end + 1) - start
-
-    # ---- callbacks of the parser
-
-    def on_body(self, data):
-        self.size += len(data)
-        if self.size > self.server.limits.body_bytes:
-            self.parts.clear()
-            raise ProtocolError("the body is too long", 413)
-        self.parts.append(data)
-
-    def on_message_complete(self):
-        self.body_complete = True
-
-    # ----
-
     def handle(self):
         """Passes a complete request to the application."""
         exchange, self.incoming, self.served = self.incoming, None, True
-        exchange.body = b"".join(self.parts)
-        self.parts = []
+        exchange.body = bytes(self.body)
+        self.body = bytearray()
         self.current = exchange
         self.enter_phase("answer")
         self.server.requests += 1
@@ -328,8 +326,7 @@
         if not exchange.keep_alive or self.is_last_answer():
             return self.close()
         self.enter_phase("idle")
-        if self.buffer:
-            self.server.loop.soon(self.parse_guarded)
+        self.parse_rest()
 
     def is_last_answer(self):
         """Whether this is the connection's last answer: the server is stopping and no further input has arrived."""
@@ -346,17 +343,12 @@
         self.enter_phase("idle")
         self.stream.close(limits.linger_us if linger else 0, limits.head_bytes + limits.body_bytes)
 
-    def parse_guarded(self):
-        """Parses later, from the loop."""
-        if not self.stream.closed:
-            self.server.loop.guard(self.stream, self.parse)
-
     def refuse(self, status, why):
         """Answers an invalid or late request with an error and closes."""
         self.buffer.clear()
         self.refused_early = True
         exchange = self.incoming or Exchange(self, b"GET", b"*", [], b"1.1")
-        self.incoming, self.parser = None, None
+        self.incoming, self.decoder, self.body = None, None, bytearray()
         exchange.keep_alive = False
         self.current = exchange
         self.server.refused += 1
@@ -409,7 +401,7 @@
     def on_closed(self, why):
         self.server.connection_closed(self)
         exchange, self.current = self.current, None
-        self.incoming = self.parser = None
+        self.incoming = self.decoder = None
         if exchange is not None and not exchange.over:
             exchange.over, left = True, exchange.on_left
             exchange.on_left = exchange.on_drained = None
--- a/lapiswing/http1/wire.py
+++ b/lapiswing/http1/wire.py
@@ -10,6 +10,7 @@
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 REQUEST_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+ [^\x00-\x20\x7f]+ HTTP/1\.[01]")
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-9][0-9][0-9]( [^\x00-\x08\x0a-\x1f\x7f]*)?")
+MAX_FIELDS = 256  # of a head; each costs as much as hundreds of bytes of a long one
 FORBIDDEN_IN_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 
 
@@ -23,6 +24,8 @@
 
 def split_head(head, first):
     """`head` without its final empty line -> (first line, [(lower-case name, value)]). Raises ProtocolError."""
+    if head.count(b"\r\n") > MAX_FIELDS:
+        raise ProtocolError("too many header fields", 431)
     lines = head.split(b"\r\n")
     if b"\n" in head.replace(b"\r\n", b"") or b"\r" in head.replace(b"\r\n", b""):
         raise ProtocolError("bare CR or LF in the head")
@@ -68,9 +71,10 @@
     return next((v for n, v in fields if n == name), default)
 
 
-def tokens(fields, name):
-    """-> the set of lower-case tokens in a header that is a comma-separated list."""
-    return {t.strip().lower() for n, v in fields if n == name for t in v.split(b",")}
+def has_token(fields, name, token):
+    """-> whether a header that is a comma-separated list contains a token, in upper or lower case."""
+    pattern = re.compile(rb"(?:^|,)[ \t]*%b[ \t]*(?:,|$)" % re.escape(token), re.IGNORECASE)
+    return any(n == name and pattern.search(v) for n, v in fields)
 
 
 def response_head(status, fields):
--- a/lapiswing/loop/net.py
+++ b/lapiswing/loop/net.py
@@ -109,6 +109,8 @@
             sock.close()
             self.open -= 1
             return True
+        stream.from_client = True
+        self.loop.accepted(sock)
         self.loop.guard(stream, self.on_stream, stream, peer)
         return True
 
--- a/lapiswing/loop/stream.py
+++ b/lapiswing/loop/stream.py
@@ -67,6 +67,7 @@
             self.loop.watch(self.sock, events, self.on_ready)
             self.events = events
 
+    from_client = False  # whether the peer opened the connection: served under the loop's budget for clients
     blocked = False  # the kernel's send buffer was full at the last attempt
     partial_reads = False  # a read may return less than is available, see SecureStream
     target, most, turns = None, READ_BYTES, MAX_READS  # `most`: size of a read; an owner that expects less may lower it
