Input of other peers: tiny frames and messages take turns, and numbers that can't be read are refused

Found: a session's frames of six bytes, all handled in the read that brought them; a fleet message of one byte likewise; a server's 1xx answers, without a limit and each copying all that was behind it; empty blocks of a stream (a call for every two bytes). On the way: `int` refuses thousands of digits and digits of other scripts that `isdigit` allows, so that a length or deadline of that kind was an internal error (500) instead of the client's (400); a server's token count of 1e400 was an exception in a callback.

--- a/lapiswing/engine/client.py
+++ b/lapiswing/engine/client.py
@@ -143,7 +143,7 @@
             details = (value.get("usage") or {}).get("prompt_tokens_details") or {}
             self.remark = self.cached = int(details.get("cached_tokens") or 0)
             self.prompt_tokens = int((value.get("usage") or {}).get("prompt_tokens") or 0)
-        except (ValueError, TypeError, KeyError, AttributeError):
+        except (AttributeError, KeyError, OverflowError, TypeError, ValueError):
             return self.finish("error")
         self.finish("read")
 
--- a/lapiswing/fleet/transport.py
+++ b/lapiswing/fleet/transport.py
@@ -19,6 +19,7 @@
 IDLE_TIMEOUT_US = 20_000 * MS  # a connection without traffic is closed
 MAX_QUEUED_BYTES = 128 * 1024  # for one peer
 MAX_PEERS, MAX_INBOUND = 256, 1024  # outgoing connections; incoming ones
+MAX_MESSAGES_PER_CALL = 64  # of one connection
 RECONNECT_DELAY_US = 200 * MS  # to a peer that could not be reached
 
 
@@ -165,13 +166,16 @@
 
     def on_data(self, data):
         self.data += data
+        if not self.messages_put_off:
+            self.take_messages()
+
+    def take_messages(self):
+        """Passes on some of the whole messages that have come, and puts the others off: tiny ones cost far more than their bytes."""
+        self.messages_put_off = False
         offset = 0
-        while len(self.data) - offset >= FRAME_HEADER.size:
-            (size,) = FRAME_HEADER.unpack_from(self.data, offset)
-            if not 0 < size <= MAX_MESSAGE_BYTES:
-                self.transport.counts["garbage"] += 1
-                return self.end()
-            if len(self.data) - offset - FRAME_HEADER.size < size:
+        for _ in range(MAX_MESSAGES_PER_CALL):
+            size = self.next_message_size(offset)
+            if size is None:
                 break
             message = bytes(self.data[offset + FRAME_HEADER.size : offset + FRAME_HEADER.size + size])
             offset += FRAME_HEADER.size + size
@@ -179,7 +183,28 @@
             self.transport.on_message(message)
             if self.stream is None:
                 return
+        else:
+            self.messages_put_off = True
+            self.stream.pause()
+            self.transport.loop.put_off_call(self, self.take_messages)
+        if self.stream is None:
+            return
         del self.data[:offset]
+        if not self.messages_put_off and not self.stream.reading:
+            self.stream.resume()
+
+    def next_message_size(self, offset):
+        """-> the size of the message that begins at `offset`, None if it is not complete. Ends the connection if it is invalid."""
+        if self.stream is None or len(self.data) - offset < FRAME_HEADER.size:
+            return None
+        (size,) = FRAME_HEADER.unpack_from(self.data, offset)
+        if not 0 < size <= MAX_MESSAGE_BYTES:
+            self.transport.counts["garbage"] += 1
+            self.end()
+            return None
+        return size if len(self.data) - offset - FRAME_HEADER.size >= size else None
+
+    messages_put_off = False  # whether `take_messages` will be called
 
     def on_eof(self):
         self.end()
--- a/lapiswing/gateway/fronts/mapping.py
+++ b/lapiswing/gateway/fronts/mapping.py
@@ -2,12 +2,14 @@
 idempotency key."""
 
 import hashlib
+import re
 
 from lapiswing.chat import InvalidCall, estimate_prompt_tokens
 from lapiswing.gateway.core import Spec
 
 MS = 1000
 MAX_DEADLINE_MS = 3_600_000
+MILLISECONDS = re.compile(rb"[0-9]{1,10}")
 MAX_KEY_BYTES = 255
 
 
@@ -68,7 +70,7 @@
         deadline_ms = group_settings.deadline_ms
         requested_ms = header(self.deadline_header)
         if requested_ms is not None:
-            if not requested_ms.isdigit() or not 0 < int(requested_ms) <= MAX_DEADLINE_MS:
+            if not MILLISECONDS.fullmatch(requested_ms) or not 0 < int(requested_ms) <= MAX_DEADLINE_MS:
                 raise InvalidCall(f"{self.deadline_header.decode()} must be whole milliseconds", None)
             deadline_ms = min(deadline_ms, int(requested_ms))
         key = header(b"idempotency-key")
--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -29,6 +29,8 @@
 
 RID = re.compile(rb"[0-9A-Za-z._~-]{1,64}")
 SESSION_KEY = re.compile(rb"[\x21-\x7e]{1,256}")
+TOKEN_COUNT = re.compile(r"[0-9]{1,8}")  # `int` refuses thousands of digits, and `isdigit` allows other scripts' digits
+MAX_EXTRA_ITEMS = 64
 STREAM = [(b"content-type", b"text/event-stream"), (b"cache-control", b"no-store")]
 BYTES_PER_TOKEN = 4  # estimates the prompt's length where the client gives none
 MAX_TOKENS = 10_000_000
@@ -54,12 +56,15 @@
 def parse_extra(value):
     """`prefix=5c0f,prompt_len=5120` -> {'prefix': '5c0f', 'prompt_len': 5120}; unknown names are ignored."""
     out = {}
-    for item in (value or b"").decode("latin-1").split(","):
+    items = (value or b"").decode("latin-1").split(",", MAX_EXTRA_ITEMS)
+    if len(items) > MAX_EXTRA_ITEMS:
+        raise RequestError("too many items in one header")
+    for item in items:
         name, _, text = item.strip().partition("=")
         if name == PREFIX:
             out[name] = text or None
         elif name in (PROMPT, PREFIX_TOKENS, MAX_OUT):
-            if not text.isdigit() or int(text) > MAX_TOKENS:
+            if not TOKEN_COUNT.fullmatch(text) or int(text) > MAX_TOKENS:
                 raise RequestError(f"{name} is not a number of tokens")
             out[name] = int(text)
     return out
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -79,6 +79,8 @@
         whole, self.incomplete_block = (data[:end], data[end:]) if end else (b"", data)
         events = 0
         for block in whole.split(b"\n\n")[:-1]:
+            if not block:
+                continue
             found = self.count_events(block)
             if found is None:
                 return self.break_off("reset")
@@ -131,7 +133,7 @@
                     try:
                         details = value["usage"].get("prompt_tokens_details") or {}
                         self.remark = self.cached = int(details.get("cached_tokens") or 0)
-                    except (AttributeError, TypeError, ValueError):
+                    except (AttributeError, OverflowError, TypeError, ValueError):
                         return None
                 events += 1
             elif line:
@@ -152,7 +154,7 @@
         if self.code == "read":
             try:
                 self.remark = self.cached = int(orjson.loads(b"".join(self.body_parts))["cached_tokens"])
-            except (ValueError, TypeError, KeyError):
+            except (KeyError, OverflowError, TypeError, ValueError):
                 return self.finish("reset")  # the prefill may have run
             self.params = True
         self.finish(self.code)
--- /dev/null
+++ b/tests/test_input_costs.py
@@ -0,0 +1,74 @@
+"""What a peer sends costs a bounded number of steps for its size, and unreadable numbers are its own fault."""
+
+import socket
+
+import pytest
+from gateway_site import GatewaySite, RawClient, chat, post, status
+from platform_harness import PlatformHarness, head
+from test_websocket import frame, opened
+
+from lapiswing.gateway.fronts import websocket
+from lapiswing.http1.client import MAX_INTERIM_ANSWERS, ClientConnection
+from lapiswing.loop import Stream
+
+
+@pytest.mark.parametrize("extra", ("prompt_len=" + "9" * 5000, "prompt_len=\u00b2", "," * 5000))
+def test_unreadable_numbers_are_the_clients_fault(tmp_path, extra):
+    """Guards against an internal error (500) where `int` refuses what `isdigit` allows."""
+    with PlatformHarness(tmp_path) as harness:
+        request = head("a1", b"{}", Req_Extra=extra).decode().encode("latin-1") + b"{}"
+        assert harness.client(request).wait_answer().status == 400
+        assert not harness.loop.errors
+
+
+def test_a_deadline_of_thousands_of_digits_is_the_clients_fault():
+    with GatewaySite() as site:
+        assert status(RawClient(site, post(chat(), X_Request_Timeout_Ms="9" * 5000)).until()) == 400
+        assert not site.loop.errors
+
+
+class InterimHandler:
+    """Keeps how an exchange with a server ended."""
+
+    failed = status = None
+
+    def on_head(self, status, fields):
+        self.status = status
+
+    def on_body(self, data):
+        pass
+
+    def on_end(self):
+        pass
+
+    def on_fail(self, stage, why):
+        self.failed = why
+
+
+@pytest.mark.parametrize("count, ended", ((MAX_INTERIM_ANSWERS, False), (MAX_INTERIM_ANSWERS + 1, True)))
+def test_interim_answers_of_a_server_are_limited(tmp_path, count, ended):
+    """Guards against a server whose endless 1xx answers are copied and parsed again and again."""
+    with PlatformHarness(tmp_path) as harness:
+        handler, pool = InterimHandler(), harness.node.pool
+        sock, other = socket.socketpair()
+        connection = ClientConnection(pool, ("127.0.0.1", 1), Stream(harness.loop, sock))
+        pool.open_count[connection.address] = 1
+        pool.all.add(connection)
+        exchange = type("Exchange", (), {"make_head": bytes, "body": b"", "handler": handler, "got_head": False, "over": False})()
+        exchange.fail = handler.on_fail
+        connection.start(exchange)
+        connection.on_data(b"HTTP/1.1 103 x\r\n\r\n" * count + b"HTTP/1.1 204 x\r\n\r\n")
+        assert (handler.failed is not None) == ended
+        assert (handler.status is None) == ended
+        other.close()
+
+
+def test_tiny_frames_of_a_session_take_turns_with_other_connections():
+    """Guards against a read of thousands of frames, each of which costs far more than its few bytes."""
+    with GatewaySite() as site:
+        raw, turns = opened(site), []
+        raw.sock.setblocking(True)
+        raw.sock.sendall(frame(9, b"") * 2000)
+        raw.sock.setblocking(False)
+        site.until(lambda: raw.read().count(b"\x8a\x00") >= 1 and (turns.append(1) or raw.got.count(b"\x8a\x00") == 2000))
+        assert len(turns) >= 2000 // websocket.MAX_EVENTS_PER_CALL
