What is kept of all peers' input has limits for the whole process, from its memory limit

Cause: node/serve.py allows 616 connections a body of 256 KiB each, Connection.parse_body keeps them, and nothing adds them up; `memory_mb` was read and used nowhere.

Now the server has an account of incomplete requests and of input behind open ones. Beyond an eighth of the memory limit it refuses (503) incomplete requests without progress for the longest until an eighth of that is free; a connection that keeps less than its part is spared. Same cause elsewhere, same cure: bodies of open requests (pushed back before they are taken), servers' answers before their first event, incomplete WebSocket messages and messages of the fleet link, answers that clients don't read. Settings of the chat gateway: listen.unfinished_bytes, limits.open_bytes. Bodies are one buffer and not a list of pieces. The figures are in the log line of SIGUSR1 and at the stop.

--- a/lapiswing/chat/call.py
+++ b/lapiswing/chat/call.py
@@ -51,11 +51,12 @@
 
 class Call:
     """A checked call. `raw` is the whole body as a dict, including fields that are unknown here; `texts` has the text of each
-    message."""
+    message, `size` the bytes of the body."""
 
-    __slots__ = ("raw", "model", "stream", "include_usage", "max_tokens", "user", "texts")
+    __slots__ = ("raw", "model", "stream", "include_usage", "max_tokens", "user", "texts", "size")
 
-    def __init__(self, raw, fields):
+    def __init__(self, raw, fields, size):
+        self.size = size
         self.raw, self.model, self.stream = raw, fields.model, bool(fields.stream)
         self.include_usage = bool(fields.stream_options and fields.stream_options.include_usage)
         self.max_tokens = fields.max_completion_tokens or fields.max_tokens
@@ -77,11 +78,11 @@
         raw: Any = orjson.loads(body)
     except orjson.JSONDecodeError as error:
         raise InvalidCall(f"The body is not valid JSON: {error}") from None
-    return call_from_value(raw)
+    return call_from_value(raw, len(body))
 
 
-def call_from_value(raw) -> Call:
-    """Does the same for a body that is already parsed from JSON."""
+def call_from_value(raw, size) -> Call:
+    """Does the same for a body of `size` bytes that is already parsed from JSON."""
     if not isinstance(raw, dict):
         raise InvalidCall("The body must be a JSON object")
     try:
@@ -95,7 +96,7 @@
     for i, message in enumerate(fields.messages):
         if isinstance(message.content, list) and any(part.type != "text" for part in message.content):
             raise InvalidCall("Only content parts of type `text` are served", f"messages[{i}].content")
-    return Call(raw, fields)
+    return Call(raw, fields, size)
 
 
 def estimate_prompt_tokens(texts, bytes_per_token):
--- a/lapiswing/engine/attempt.py
+++ b/lapiswing/engine/attempt.py
@@ -7,9 +7,20 @@
 
     over, exchange = False, None
     code = remark = report = None
+    kept_bytes = 0  # of the answer, as counted in the budget
 
-    def __init__(self, owner):
-        self.owner = owner
+    def __init__(self, owner, budget):
+        """`budget`: a ByteBudget of what all attempts keep of answers that can't be passed on yet."""
+        self.owner, self.budget = owner, budget
+
+    def count_kept(self, size):
+        """This attempt now keeps `size` bytes. Breaks it off if all attempts together keep too much."""
+        more = size - self.kept_bytes
+        if more > 0 and not self.budget.take(more):
+            return self.break_off("reset")
+        if more < 0:
+            self.budget.give_back(-more)
+        self.kept_bytes = size
 
     @property
     def unsent(self):
@@ -45,5 +56,7 @@
         """Marks the attempt as over and returns its owner, which gets no further calls. The references are dropped so
         that no reference cycle remains."""
         self.over = True
+        self.budget.give_back(self.kept_bytes)
+        self.kept_bytes = 0
         owner, self.owner, self.exchange = self.owner, None, None
         return owner
--- a/lapiswing/engine/client.py
+++ b/lapiswing/engine/client.py
@@ -14,6 +14,7 @@
 from lapiswing.engine.outcomes import REFUSAL, of_failure, of_status, report_of
 from lapiswing.http1.wire import get
 from lapiswing.loop import address_of
+from lapiswing.loop.byte_budget import ByteBudget
 
 CHAT_PATH = b"/v1/chat/completions"
 RELEASE_RETRY_DELAYS_MS = (100, 200, 400, 800, 1600, 3200)
@@ -55,11 +56,11 @@
 class Attempt(HttpAttempt):
     """An attempt that is in progress at a server."""
 
-    def __init__(self, owner, server, stage, event_bytes):
-        super().__init__(owner)
+    def __init__(self, owner, server, stage, event_bytes, budget):
+        super().__init__(owner, budget)
         self.server, self.stage = server, stage
         self.begun, self.done_seen, self.status = False, False, None
-        self.body, self.size, self.buffered = [], 0, ([], [])  # buffered: (values, payloads) before the first content
+        self.body, self.buffered = bytearray(), ([], [])  # buffered: (values, payloads) before the first content
         self.events = EventParser(event_bytes)
         self.params = self.cached = self.answer = None
         self.max_event_bytes = event_bytes
@@ -81,11 +82,10 @@
         if self.over:
             return
         if self.code != "ok" or self.stage == "read":
-            self.size += len(data)
-            if self.size > max(self.max_event_bytes, MAX_RESPONSE_BYTES):
+            self.body += data
+            if len(self.body) > max(self.max_event_bytes, MAX_RESPONSE_BYTES):
                 return self.break_off("reset")
-            self.body.append(data)
-            return
+            return self.count_kept(len(self.body))
         try:
             values, payloads = [], self.events.feed(data)
             for payload in payloads:
@@ -103,6 +103,8 @@
             if self.done_seen:
                 payloads.pop()
             self.deliver(values, payloads)
+            if not self.over:
+                self.count_kept(len(self.events.rest) + (0 if self.begun else sum(map(len, self.buffered[1]))))
         except (EventTooLong, ValueError, TypeError, AttributeError, KeyError, IndexError):
             self.break_off("reset")
 
@@ -128,7 +130,7 @@
         if self.over:
             return
         if self.code == "answered":
-            self.answer = (self.status, b"".join(self.body))
+            self.answer = (self.status, bytes(self.body))
             return self.finish("done")
         if self.code != "ok":
             return self.finish(self.code)
@@ -136,7 +138,7 @@
             # A stream without [DONE] is incomplete, even where the connection was closed in order.
             return self.finish("done" if self.done_seen and self.begun else "reset")
         try:
-            value = orjson.loads(b"".join(self.body))
+            value = orjson.loads(self.body)
             self.params = value["kv_transfer_params"]
             if not isinstance(self.params, dict) or not self.params.get("remote_engine_id"):
                 raise ValueError("the response names no state")
@@ -241,8 +243,10 @@
 class Engine:
     """The gateway's client of its model servers. `releasing` counts the releases without a response yet."""
 
-    def __init__(self, loop, pool, event_bytes):
+    def __init__(self, loop, pool, event_bytes, max_kept_bytes):
+        """`max_kept_bytes`: of answers that can't be passed on yet, over all attempts."""
         self.loop, self.pool, self.event_bytes, self.releasing = loop, pool, event_bytes, 0
+        self.kept = ByteBudget(max_kept_bytes)
 
     states_named_by_req = False  # the state of each attempt has a name of its own
 
@@ -256,7 +260,7 @@
         """Sends `raw`, the client's call, as a read, as a write of the state that `params` name, or, in the direct stage, as
         both. `key`: idempotency key. `read_us`: how long the read of the state took, by which the writer judges whether to
         wait for a slow transfer. `up_us`: the time in which a new connection has to be established."""
-        attempt = Attempt(owner, server, stage, self.event_bytes)
+        attempt = Attempt(owner, server, stage, self.event_bytes, self.kept)
         body = read_request_body(raw) if stage == "read" else write_request_body(raw, params)
         fields = [(b"content-type", b"application/json"), (b"x-request-id", name)]
         if key:
--- a/lapiswing/fleet/transport.py
+++ b/lapiswing/fleet/transport.py
@@ -11,6 +11,7 @@
 
 from lapiswing.fleet.messages import MAX_MESSAGE_BYTES
 from lapiswing.loop import Listener, address_of, connect, listen_socket
+from lapiswing.loop.byte_budget import ByteBudget
 
 MS = 1000
 FRAME_HEADER = struct.Struct(">I")  # the size of the message that follows
@@ -19,6 +20,7 @@
 IDLE_TIMEOUT_US = 20_000 * MS  # a connection without traffic is closed
 MAX_QUEUED_BYTES = 128 * 1024  # for one peer
 MAX_PEERS, MAX_INBOUND = 256, 1024  # outgoing connections; incoming ones
+MAX_INCOMPLETE_BYTES = 16 << 20  # of messages that have not come whole, over all incoming connections
 MAX_MESSAGES_PER_CALL = 64  # of one connection
 RECONNECT_DELAY_US = 200 * MS  # to a peer that could not be reached
 
@@ -32,6 +34,7 @@
         self.listener = Listener(loop, listen_socket(host, port), self.accept, MAX_INBOUND)
         self.port = self.listener.address[1]
         self.peers, self.inbound, self.closed = {}, set(), False
+        self.incomplete = ByteBudget(MAX_INCOMPLETE_BYTES)
         self.counts = {"sent": 0, "dropped": 0, "got": 0, "garbage": 0}
         self.sweep_timer = loop.call_later(1000 * MS, self.sweep)
 
@@ -162,10 +165,15 @@
 
     def __init__(self, transport, stream):
         self.transport, self.stream, self.data = transport, stream, bytearray()
+        self.counted_bytes = 0
         stream.owner = self
 
     def on_data(self, data):
         self.data += data
+        if not self.transport.incomplete.take(len(data)):
+            self.transport.counts["dropped"] += 1
+            return self.end()
+        self.counted_bytes += len(data)
         if not self.messages_put_off:
             self.take_messages()
 
@@ -190,6 +198,8 @@
         if self.stream is None:
             return
         del self.data[:offset]
+        self.transport.incomplete.give_back(offset)
+        self.counted_bytes -= offset
         if not self.messages_put_off and not self.stream.reading:
             self.stream.resume()
 
@@ -217,6 +227,8 @@
         self.end()
 
     def end(self):
+        self.transport.incomplete.give_back(self.counted_bytes)
+        self.counted_bytes = 0
         if self in self.transport.inbound:
             self.transport.inbound.discard(self)
             self.transport.listener.gone()
--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -52,6 +52,7 @@
     entry: Any = None  # of `admission.repeats`, if the call has a key
     rid: Any = None  # request id, if the front's protocol has one
     bits: int = 0  # flags of the router's `req` event
+    size: int = 0  # bytes that are kept of the call while its request is known
 
 
 class Answer:
@@ -119,6 +120,7 @@
         self.kinds = {}  # server -> kind, also of servers that have left the list
         self.departed = set()  # servers that have left the list and whose data is still kept
         self.draining, self.on_idle, self.open, self.log_each_req = False, None, 0, True
+        self.open_bytes = 0  # kept of the calls whose requests are known
         self.counts = {
             "taken": 0,
             "done": 0,
@@ -133,6 +135,7 @@
             "backstop": 0,
             "faults": 0,
             "capped": 0,
+            "out of memory": 0,
         }
         self.memory = memory or Memory(None, None, None)
         self.tally, self.caps, self.on_change = Tally(), Caps(), None
@@ -149,6 +152,9 @@
         now = self.loop.clock.now_us()
         if self.draining or self.open >= self.limits.open_reqs:
             return self.reject(listener)
+        if self.open_bytes + spec.size > self.limits.open_bytes:
+            self.counts["out of memory"] += 1
+            return self.reject(listener)
         retry_after_us = self.caps.retry_after_us(now, spec.tenant)
         if retry_after_us is not None:
             self.counts["capped"] += 1
@@ -194,6 +200,7 @@
         self.reqs[req.rid] = req
         self.counts["taken"] += 1
         self.open += 1
+        self.open_bytes += spec.size
         tenant = self.tally.tenant(spec.tenant)
         tenant["taken"] += 1
         tenant["open"] += 1
@@ -321,7 +328,8 @@
             for req in self.ended:
                 if not req.attempts:
                     self.release(req.rid)  # in case the router forgot to; usually nothing is held
-                    self.reqs.pop(req.rid, None)
+                    if self.reqs.pop(req.rid, None) is not None:
+                        self.open_bytes -= req.spec.size
             self.ended = [req for req in self.ended if req.rid in self.reqs]
             if self.draining and not self.reqs and self.on_idle:
                 self.on_idle()
--- a/lapiswing/gateway/fronts/mapping.py
+++ b/lapiswing/gateway/fronts/mapping.py
@@ -102,4 +102,5 @@
             hashlib.blake2b(repr(sorted(content_fields.items())).encode("utf-8", "surrogatepass"), digest_size=16).digest()
             if key
             else b"",
+            size=call.size,
         )
--- a/lapiswing/gateway/fronts/websocket.py
+++ b/lapiswing/gateway/fronts/websocket.py
@@ -20,6 +20,7 @@
 from lapiswing.chat.errors import failed, rejected
 from lapiswing.gateway.fronts.mapping import UnknownApiKey
 from lapiswing.http1.wire import has_token
+from lapiswing.loop.byte_budget import ByteBudget
 from lapiswing.sessions import Book, Limits, Tokens
 from lapiswing.settings import settings_pb2 as pb
 
@@ -71,6 +72,7 @@
         )
         self.tokens = Tokens(list(limits.token_key), process_name, max(60, limits.resume_ms // 1000 * 4 + limits.idle_ms // 1000))
         self.connections, self.draining = set(), False
+        self.partial_messages = ByteBudget(settings.listen.unfinished_bytes)
         self.counts = {"opened": 0, "resumed": 0, "refused": 0, "dropped": 0, "ended": 0}
         self.advice = {group.name: RETRY_ADVICE[group.effect] for group in settings.group}
         self.loop.after.append(self.turn)
@@ -209,7 +211,7 @@
         self.loop, self.session = front.loop, None
         self.server, self.stream = exchange.conn.server, exchange.conn.stream
         self.protocol = ProtocolConnection(ConnectionType.SERVER)
-        self.message_parts, self.message_size, self.closing = [], 0, False
+        self.message_parts, self.message_size, self.counted_bytes, self.closing = [], 0, 0, False
         self.last_received_us = self.last_ping_us = self.loop.now
         rest = exchange.upgrade(self)
         front.connections.add(self)
@@ -270,8 +272,11 @@
                 return self.close(1009, "message too long")
             self.message_parts.append(event.data)
             if event.message_finished:
-                text, self.message_parts, self.message_size = "".join(self.message_parts), [], 0
+                text = "".join(self.message_parts)
+                self.forget_parts()
                 self.handle_message(text)
+            elif not self.count_parts():
+                return self.close(1013, "too many incomplete messages")
         elif isinstance(event, BytesMessage):
             self.close(1003, "text messages only")
         elif isinstance(event, Ping):
@@ -287,6 +292,18 @@
         if self.stream.full:
             self.stream.pause()
 
+    def count_parts(self):
+        """Counts what is kept of an incomplete message. -> whether that fits in what all connections may keep."""
+        if not self.front.partial_messages.take(self.message_size - self.counted_bytes):
+            return False
+        self.counted_bytes = self.message_size
+        return True
+
+    def forget_parts(self):
+        """Forgets the parts of a message."""
+        self.front.partial_messages.give_back(self.counted_bytes)
+        self.message_parts, self.message_size, self.counted_bytes = [], 0, 0
+
     def close_stream(self, ended=True):
         """Closes the stream after the closing handshake. `ended`: whether the session ends with it."""
         if ended and self.session is not None:
@@ -300,6 +317,7 @@
         self.stream.abort()
 
     def on_closed(self, why):
+        self.forget_parts()
         self.front.connections.discard(self)
         self.server.gone()
         session, self.session = self.session, None
@@ -395,7 +413,7 @@
         if not isinstance(message.id, str) or not 0 < len(message.id) <= 128:
             return self.error("bad_message", "`id` must have 1 to 128 characters")
         self.session.last_received_us = self.loop.now
-        return handle(message)
+        return handle(message, len(text)) if message.type == "call" else handle(message)
 
     def open_session(self):
         """Opens a session unless there is one. Returns whether there is one then."""
@@ -456,8 +474,8 @@
         self.resume_streams()
         return None
 
-    def call(self, message):
-        """Opens a stream and hands its call to the core."""
+    def call(self, message, size):
+        """Opens a stream and hands its call, which came in a message of `size` characters, to the core."""
         book, session = self.front.book, self.session
         credit = message.credit if message.credit is None else max(0, message.credit)
         stream, why = book.open_stream(session, message.id, credit)
@@ -482,7 +500,7 @@
         stream.listener = listener = SessionListener(self.front, session, stream)
         headers = {name.lower().encode(): value.encode() for name, value in message.headers.items()}
         try:
-            call = call_from_value(message.body if message.body is not None else {})
+            call = call_from_value(message.body if message.body is not None else {}, size)
             listener.whole = not call.stream
             listener.include_usage = call.include_usage
             spec = self.front.mapper.spec(call, self.tenant, headers.get, self.loop.clock.now_us())
--- a/lapiswing/gateway/serve.py
+++ b/lapiswing/gateway/serve.py
@@ -67,7 +67,7 @@
         )
         self.core = Core(
             self.loop,
-            Engine(self.loop, self.pool, config.limits.event_bytes),
+            Engine(self.loop, self.pool, config.limits.event_bytes, config.limits.open_bytes),
             Membership(MemberLimits(config.dns.gone_ms * MS, config.dns.doubt_ms * MS)),
             Repeats(config.limits.repeats_kept, config.limits.repeat_bytes),
             config,
@@ -94,6 +94,7 @@
                 listen.idle_ms * MS,
                 listen.stall_ms * MS,
                 connections=listen.connections,
+                all_unfinished_bytes=max(listen.unfinished_bytes, listen.head_bytes + listen.body_bytes),
             ),
         )
         self.listener, self.servers_file_stamp, self.stop_signals = None, None, 0
--- a/lapiswing/http1/chunked.py
+++ b/lapiswing/http1/chunked.py
@@ -21,14 +21,14 @@
         self.max_body_bytes, self.body = max_body_bytes, bytearray()
         self.chunk_left = 0  # bytes of the current chunk's data still to come
         self.framing_bytes, self.complete, self.steps = 0, False, 0
-        self.read_next = self.read_size
+        self.state = ChunkedDecoder.read_size  # not a bound method, which would make a reference cycle
 
     def decode(self, buffer):
         """Decodes from the front of `buffer`, a bytearray, and deletes what it has decoded. Bytes behind the end of the body
         stay. -> whether the body is complete. Raises ProtocolError."""
         position = 0
         while not self.complete:
-            after = self.read_next(buffer, position)
+            after = self.state(self, buffer, position)
             self.steps += 1
             if after is None:
                 break
@@ -52,7 +52,7 @@
         self.count_framing(end - position + 2 * len(CRLF))
         if len(self.body) + self.chunk_left > self.max_body_bytes:
             raise ProtocolError("the body is too long", 413)
-        self.read_next = self.read_data if self.chunk_left else self.read_trailer
+        self.state = ChunkedDecoder.read_data if self.chunk_left else ChunkedDecoder.read_trailer
         return end + len(CRLF)
 
     def read_data(self, buffer, position):
@@ -63,7 +63,7 @@
         self.body += buffer[position:end]
         self.chunk_left -= end - position
         if not self.chunk_left:
-            self.read_next = self.read_data_end
+            self.state = ChunkedDecoder.read_data_end
         return end
 
     def read_data_end(self, buffer, position):
@@ -74,7 +74,7 @@
             raise ProtocolError("a chunk is longer than its size")
         if len(found) < len(CRLF):
             return None
-        self.read_next = self.read_size
+        self.state = ChunkedDecoder.read_size
         return end
 
     def read_trailer(self, buffer, position):
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -11,6 +11,7 @@
 MAX_ROOM_CANDIDATES = 64  # connections examined in one search for room
 ARRIVAL_MERGE_US = 10_000  # reads closer together count as one, at the earlier time
 REFUSAL_READ_BYTES = 65536  # closing with unread bytes would reset the connection and destroy the answer
+FIELD_OVERHEAD_BYTES = 144  # kept for a header field, on top of its bytes
 MAX_EMPTY_LINES = 16  # before a request
 MIN_PIPELINED_BYTES = 4096  # each connection may buffer this much behind an open request, whatever the others do
 
@@ -29,6 +30,7 @@
     stall_us: int = 30_000_000
     pipelined_bytes: int = 65536
     all_pipelined_bytes: int = 4 << 20  # over all connections; beyond it each may buffer only `MIN_PIPELINED_BYTES`
+    all_unfinished_bytes: int = 64 << 20  # of incomplete requests, over all connections; beyond it some are refused
     connections: int = 4096
     first_request_us: int | None = None  # from the opening of a connection until its first request is complete
     linger_us: int = 1_000_000  # after a last answer while its client still sends
@@ -40,6 +42,7 @@
     if the client leaves before the answer's end, `on_drained()` when `full` has become false again."""
 
     on_left = on_drained = None
+    head_bytes = 0  # kept of the head
 
     def __init__(self, conn, method, target, fields, version):
         self.conn, self.method, self.target, self.fields, self.version = conn, method, target, fields, version
@@ -125,7 +128,9 @@
         conn.current = None
         conn.server.connections.discard(conn)
         conn.stream.owner = owner
-        return bytes(conn.buffer)
+        rest = bytes(conn.buffer)
+        conn.buffer.clear()
+        return rest
 
 
 class Arrivals:
@@ -171,19 +176,24 @@
         self.closing_at_once = False  # whether its descriptor is needed immediately
         self.discarded_bytes = 0  # read behind the current request and not kept
         self.phase = "idle"  # idle, head, body, answer: determines which time-out applies
+        self.unfinished_bytes = self.pipelined_bytes = 0  # what the server's account holds of this connection
         stream.owner = self
 
     def on_data(self, data):
-        if self.stream.closing:
-            return
+        if not self.stream.closing:
+            self.receive(data)
+            self.update_account()
+            if self.unfinished_bytes:
+                self.server.refuse_beyond_limit()
+
+    def receive(self, data):
+        """Takes input: parses it, keeps it for later or discards it."""
         if not self.buffer:
             self.arrivals.clear()
         self.buffer += data
         self.arrivals.add(len(data), self.server.loop.ready_since_us)
         limits = self.server.limits
         if self.parsing_later:
-            if len(self.buffer) > limits.pipelined_bytes:
-                self.stream.pause()  # until its turn has come
             return
         if self.current is None:
             return self.parse()
@@ -214,6 +224,7 @@
         """Has the buffered input parsed later if no request is being answered."""
         if self.current is None and self.buffer and not self.parsing_later:
             self.parsing_later = True
+            self.stream.pause()  # so that input that waits for its turn does not grow
             self.enter_phase("head")
             self.server.loop.put_off_call(self.stream, self.parse_later)
 
@@ -224,8 +235,21 @@
             return
         if self.current is None and self.buffer:
             self.parse()
-        if not self.stream.reading and (not self.parsing_later or len(self.buffer) <= self.server.limits.pipelined_bytes):
+        if not self.parsing_later:
             self.stream.resume()
+        self.update_account()
+
+    def update_account(self):
+        """Enters what is kept of this connection's input into the server's account."""
+        kept = 0
+        if not self.stream.closed:
+            kept = len(self.buffer) + len(self.body if self.decoder is None else self.decoder.body)
+            kept += self.incoming.head_bytes if self.incoming is not None else 0
+        unfinished, pipelined = (kept, 0) if self.current is None else (0, kept)
+        account = self.server.account
+        account.unfinished_bytes += unfinished - self.unfinished_bytes
+        account.pipelined_bytes += pipelined - self.pipelined_bytes
+        self.unfinished_bytes, self.pipelined_bytes = unfinished, pipelined
 
     def parse_head(self):
         """-> whether a whole head was parsed. Raises ProtocolError."""
@@ -265,6 +289,7 @@
                 self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self.incoming = Exchange(self, method, target, fields, version)
         self.incoming.arrived_us = arrived_us
+        self.incoming.head_bytes = end + FIELD_OVERHEAD_BYTES * len(fields)
         self.body, self.body_left = bytearray(), 0
         if length == "chunked":
             self.decoder = ChunkedDecoder(limits.body_bytes)
@@ -327,6 +352,7 @@
             return self.close()
         self.enter_phase("idle")
         self.parse_rest()
+        self.update_account()
 
     def is_last_answer(self):
         """Whether this is the connection's last answer: the server is stopping and no further input has arrived."""
@@ -340,6 +366,8 @@
         """Closes the connection after its last answer."""
         limits, more = self.server.limits, self.refused_early or self.discarded_bytes or self.has_more_input()
         linger = more and not self.closing_at_once
+        self.buffer.clear()
+        self.update_account()
         self.enter_phase("idle")
         self.stream.close(limits.linger_us if linger else 0, limits.head_bytes + limits.body_bytes)
 
@@ -402,6 +430,7 @@
         self.server.connection_closed(self)
         exchange, self.current = self.current, None
         self.incoming = self.decoder = None
+        self.update_account()
         if exchange is not None and not exchange.over:
             exchange.over, left = True, exchange.on_left
             exchange.on_left = exchange.on_drained = None
@@ -413,6 +442,14 @@
             self.current.on_drained()
 
 
+class InputAccount:
+    """Bytes of input that a server keeps, over all connections: for requests that are not complete, and behind open ones."""
+
+    def __init__(self):
+        self.unfinished_bytes = self.pipelined_bytes = 0
+        self.refused = 0  # requests that were refused because of them
+
+
 class Server:
     """Serves `app` on the streams of a listener, whose `on_stream` is `accept`."""
 
@@ -420,6 +457,7 @@
         self.loop, self.app, self.limits = loop, app, limits
         self.connections, self.listener, self.closing = set(), None, False
         self.requests = self.refused = 0
+        self.account = InputAccount()
         self.sweep_timer = loop.call_later(1_000_000, self.sweep)
 
     def accept(self, stream, peer):
@@ -479,7 +517,23 @@
 
     def pipelining_full(self):
         """Whether all connections together buffer more behind their open requests than allowed."""
-        return sum(len(conn.buffer) for conn in self.connections if conn.current is not None) > self.limits.all_pipelined_bytes
+        return self.account.pipelined_bytes > self.limits.all_pipelined_bytes
+
+    def refuse_beyond_limit(self):
+        """Refuses incomplete requests if all connections together keep more of them than allowed, until an eighth is free: those
+        that have made no progress for the longest go first. Connections that keep less than their part of the limit are spared,
+        so that hundreds of peers that stop halfway don't displace the usual requests."""
+        limit, account = self.limits.all_unfinished_bytes, self.account
+        if account.unfinished_bytes <= limit:
+            return
+        part = limit // len(self.connections)
+        found = [conn for conn in self.connections if conn.unfinished_bytes > part and not conn.stream.closing]
+        found.sort(key=lambda conn: (conn.stream.last_progress_us, -conn.unfinished_bytes))
+        for conn in found:
+            if account.unfinished_bytes <= limit * 7 // 8:
+                return
+            account.refused += 1
+            conn.refuse(503, "too many incomplete requests")
 
     @staticmethod
     def answer_refused(sock):
--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -149,6 +149,7 @@
             b"",
             rid=rid_text,
             bits=RETRIES.get(single_value(fields, RETRY), 0),
+            size=len(exchange.body) + exchange.head_bytes,
         )
 
 
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -26,12 +26,19 @@
 from lapiswing.policy import Router
 
 MS = 1000
+BYTES_PER_MB = 1_000_000
 HEAD_BYTES = 16384
 FIRST_REQUEST_US = 2200 * MS  # from connecting to a complete request; the platform requires 3 s
-ANSWER_BUFFER_BYTES = 65536
+MIN_ANSWER_BUFFER_BYTES, MAX_ANSWER_BUFFER_BYTES = 16384, 65536  # for one client
 STREAM_IDLE_MS = 4500  # a stream that has begun and is silent for this long has failed; clients allow 5 s
 ACCEPT_AFTER_STOP_US = 450 * MS  # new connections may still arrive for this long after SIGTERM
 KEEP_ALIVE_AFTER_STOP_US = 2500 * MS  # open connections may be used until then; SIGKILL comes at least 3.7 s after SIGTERM
+# What may be kept for all peers together, as parts of the memory that the process may use.
+UNFINISHED_PART = 8  # incomplete requests
+OPEN_BODIES_PART = 4  # bodies of open requests
+PIPELINED_PART = 32  # input behind open requests
+SERVER_ANSWERS_PART = 8  # of servers' answers that can't be passed on yet
+CLIENT_ANSWERS_PART = 8  # of answers that clients have not read
 RESERVED_DESCRIPTORS = 24  # for the loop, the listener, logs and discovery
 LISTEN_TIMEOUT_US, LISTEN_RETRY_US = 8000 * MS, 50 * MS  # waits for a port in use; a restart has 10 s to become ready
 RELOAD_ATTEMPTS, RELOAD_RETRY_US = 30, 100 * MS  # to read a changed configuration, which must apply 4 s after the signal
@@ -44,6 +51,7 @@
 
     margin_ms: float
     open_reqs: int
+    open_bytes: int
     max_come_back_ms: int
     resumes: int = 0
 
@@ -113,6 +121,7 @@
         limits, sockets = settings["limits"], min(self.config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         # As many connections to servers as clients usually have open requests, plus some for releases and idle connections.
         server_connections = sockets * 3 // 8
+        memory_bytes = int(self.config.limits.memory_mb * BYTES_PER_MB)
         self.max_clients = sockets - server_connections - RESERVED_DESCRIPTORS
         idle_us = limits.get("conn_idle_us") or 10_000 * MS
         self.pool = Pool(
@@ -124,6 +133,9 @@
             settle_us=20 * MS,
             max_total=server_connections,
         )
+        self.answer_buffer_bytes = min(
+            max(MIN_ANSWER_BUFFER_BYTES, memory_bytes // CLIENT_ANSWERS_PART // self.max_clients), MAX_ANSWER_BUFFER_BYTES
+        )
         self.discovery_pool = Pool(self.loop, 4, 1, 60_000 * MS, 1000 * MS)
         report = settings.get("report") or {}
         self.servers = Servers(
@@ -133,6 +145,7 @@
             bool(report.get("names")),
             ReleaseTargets(settings.get("az", 0), int(self.config.seed, 16)),
             settings["family_info"].get("let_go_by_us"),
+            memory_bytes // SERVER_ANSWERS_PART,
         )
         margin_us = settings.get("resolution_us") or MS
         self.core = Core(
@@ -141,7 +154,12 @@
             Membership(),
             Repeats(1, 1),
             CoreSettings(
-                CoreLimits(margin_us / MS, self.max_clients, (limits.get("max_retry_after_us") or 0) // MS),
+                CoreLimits(
+                    margin_us / MS,
+                    self.max_clients,
+                    memory_bytes // OPEN_BODIES_PART,
+                    (limits.get("max_retry_after_us") or 0) // MS,
+                ),
                 [Group() for _ in settings["groups"]],
             ),
             settings,
@@ -169,6 +187,8 @@
                 HEAD_BYTES + MAX_BODY_BYTES,
                 connections=self.max_clients,
                 first_request_us=FIRST_REQUEST_US,
+                all_pipelined_bytes=min(HttpLimits.all_pipelined_bytes, memory_bytes // PIPELINED_PART),
+                all_unfinished_bytes=max(HEAD_BYTES + MAX_BODY_BYTES, memory_bytes // UNFINISHED_PART),
             ),
         )
         self.subscribe = settings.get("membership_mode") == "subscribe"
@@ -214,7 +234,12 @@
         try:
             sock = listen_socket(*address_of(self.config.listen))
             self.listener = Listener(
-                self.loop, sock, self.server.accept, self.max_clients, high=ANSWER_BUFFER_BYTES, low=ANSWER_BUFFER_BYTES // 4
+                self.loop,
+                sock,
+                self.server.accept,
+                self.max_clients,
+                high=self.answer_buffer_bytes,
+                low=self.answer_buffer_bytes // 4,
             )
         except OSError as problem:
             if sock is not None:
@@ -269,10 +294,25 @@
             clients=len(self.server.connections),
             to_servers=len(self.pool.all),
             releasing=self.servers.releasing,
+            **self.input_figures(),
         )
         for row in view.rows(self.core, self.servers, self.pool):
             self.log.info("view", **row)
 
+    def input_figures(self):
+        """-> what is kept of peers' input, what was refused because of that, and how many turns ran out of time."""
+        account = self.server.account
+        return {
+            "unfinished_bytes": account.unfinished_bytes,
+            "pipelined_bytes": account.pipelined_bytes,
+            "open_bytes": self.core.open_bytes,
+            "server_bytes": self.servers.kept.used,
+            "refused_unfinished": account.refused,
+            "refused_open": self.core.counts["out of memory"],
+            "refused_server_bytes": self.servers.kept.refused,
+            "turns_over_budget": self.loop.turns_over_budget,
+        }
+
     def reload(self, attempts_left=RELOAD_ATTEMPTS):
         """Applies a changed discovery address; if the file can't be read the last configuration stays in use. The signal comes
         only once and may find a half-written file or no free descriptor, so reading is retried for a while."""
@@ -328,6 +368,7 @@
             guards=self.core.guards.total,
             rounds=self.core.rounds,
             round_ms=self.core.round_us // MS,
+            **self.input_figures(),
             **{k.replace(" ", "_"): v for k, v in self.core.counts.items() if v},
         )
         self.loop.stop()
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -7,6 +7,7 @@
 
 from lapiswing.engine.attempt import HttpAttempt
 from lapiswing.http1.wire import get
+from lapiswing.loop.byte_budget import ByteBudget
 from lapiswing.node import release_targets
 from lapiswing.node.names import DEADLINE, DECLINED, HEALTH_PATH, ID, IDEMPOTENCY_KEY, LOAD, LOAD_COMMENT, LOAD_PATH, ROOMS_PATH
 from lapiswing.node.outcomes import of_failure, of_status, parse_load
@@ -14,6 +15,7 @@
 MS = 1000
 MAX_BODY_BYTES = 256 * 1024  # limit of the platform for any body
 MAX_EVENT_BYTES = 65536
+MAX_KEPT_BYTES = 32 << 20
 CHUNK_STALL_US = 3000 * MS  # a chunk that has begun and brings nothing for this long has a wrong size
 SETTLE_US = 20 * MS  # delay before a release, so that what was sent earlier has arrived
 DEFAULT_RELEASE_US = 500 * MS  # time for a release if the settings give none
@@ -39,10 +41,10 @@
     """One attempt in flight: the request as sent to one server."""
 
     def __init__(self, servers, owner, server, name):
-        super().__init__(owner)
+        super().__init__(owner, servers.kept)
         self.servers, self.server, self.name, self.begun = servers, server, name, False
         self.status = self.timer = self.params = self.cached = self.answer = None
-        self.received_bytes, self.body_parts, self.incomplete_block = 0, [], b""
+        self.received_bytes, self.body, self.incomplete_block = 0, bytearray(), b""
 
     def end(self):
         self.cancel_timer()
@@ -67,8 +69,15 @@
         self.received_bytes += len(data)
         if self.received_bytes > MAX_BODY_BYTES:
             return self.break_off("reset")
-        if self.code != "stream":
-            return self.body_parts.append(data)
+        if self.code == "stream":
+            self.take_events(data)
+        else:
+            self.body += data
+        if not self.over:
+            self.count_kept(len(self.body) + len(self.incomplete_block))
+
+    def take_events(self, data):
+        """Passes on the whole events of a stream."""
         if self.incomplete_block:
             data = self.incomplete_block + data
         end = data.rfind(b"\n\n") + 2
@@ -86,10 +95,10 @@
                 return self.break_off("reset")
             events += found
         if whole and not self.begun:
-            self.body_parts.append(whole)
+            self.body += whole
             if not events:
                 return
-            self.begun, whole, self.body_parts = True, b"".join(self.body_parts), []
+            self.begun, whole, self.body = True, bytes(self.body), bytearray()
             self.owner.on_first(self)
             if self.over:
                 return
@@ -149,11 +158,11 @@
                 self.incomplete_block = b""
             return self.finish("done" if self.begun and not self.incomplete_block else "reset")
         if self.code == "answered":
-            self.answer = (self.status, b"".join(self.body_parts))
+            self.answer = (self.status, bytes(self.body))
             return self.finish("done")
         if self.code == "read":
             try:
-                self.remark = self.cached = int(orjson.loads(b"".join(self.body_parts))["cached_tokens"])
+                self.remark = self.cached = int(orjson.loads(self.body)["cached_tokens"])
             except (KeyError, OverflowError, TypeError, ValueError):
                 return self.finish("reset")  # the prefill may have run
             self.params = True
@@ -275,8 +284,10 @@
 
     states_named_by_req = True  # servers name what they hold after the request
 
-    def __init__(self, loop, pool, load_names, reports, targets, release_us=None):
-        """`reports`: whether servers report their load. `targets`: a ReleaseTargets. `release_us`: time for a release."""
+    def __init__(self, loop, pool, load_names, reports, targets, release_us=None, max_kept_bytes=MAX_KEPT_BYTES):
+        """`reports`: whether servers report their load. `targets`: a ReleaseTargets. `release_us`: time for a release.
+        `max_kept_bytes`: of answers that can't be passed on yet, over all attempts."""
+        self.kept = ByteBudget(max_kept_bytes)
         self.loop, self.pool, self.load_names, self.reports = loop, pool, set(load_names), reports
         self.addresses, self.releasing, self.release_targets = {}, 0, targets
         self.release_us = release_us or DEFAULT_RELEASE_US
--- a/tests/test_chunked.py
+++ b/tests/test_chunked.py
@@ -1,5 +1,8 @@
 """The chunked transfer coding of requests: valid and invalid forms, and the work that a body can cause."""
 
+import gc
+import weakref
+
 import pytest
 
 from lapiswing.http1.chunked import MAX_FRAMING_BYTES, MAX_LINE_BYTES, ChunkedDecoder
@@ -72,6 +75,19 @@
     assert problem.value.status == 413
 
 
+def test_a_body_is_freed_without_the_garbage_collector():
+    """Guards against bodies that were refused and yet stay in memory, as the collector runs rarely."""
+    decoder = ChunkedDecoder(BODY_BYTES)
+    decoder.decode(bytearray(b"5\r\nhel"))
+    reference = weakref.ref(decoder)
+    gc.disable()
+    try:
+        del decoder
+        assert reference() is None
+    finally:
+        gc.enable()
+
+
 def test_small_chunks_of_a_usual_body_are_taken():
     size = MAX_FRAMING_BYTES // 5
     assert decode(b"1\r\nx\r\n" * size + b"0\r\n\r\n")[0] == b"x" * size
