Events in small pieces and lists of discovery cost in proportion to their size

EventParser copied and split all that had come of an event for each piece: a megabyte in pieces of 100 bytes took some ten thousand copies of half a megabyte on average. It searches only what is new now. A list of discovery of 8 MB could hold 2.7 million empty rows: 4 MB, 16,384 rows, and commas are counted before anything is decoded.

--- a/lapiswing/chat/events.py
+++ b/lapiswing/chat/events.py
@@ -31,17 +31,22 @@
     section 9.2.6)."""
 
     def __init__(self, max_event_bytes):
-        self.max_event_bytes, self.rest = max_event_bytes, b""
+        self.max_event_bytes, self.rest, self.ended_in_cr = max_event_bytes, bytearray(), False
 
     def feed(self, data):
         """Returns the payloads of the events that `data` completes. Raises EventTooLong."""
-        if self.rest:
-            data = self.rest + data
-        if b"\r" in data:
-            ends_in_cr = data.endswith(b"\r")
-            data = (data[:-1] if ends_in_cr else data).replace(b"\r\n", b"\n") + (b"\r" if ends_in_cr else b"")
-        blocks = data.split(b"\n\n")
-        self.rest = blocks.pop()
+        if self.ended_in_cr:
+            data = b"\r" + data
+        self.ended_in_cr = data.endswith(b"\r")
+        if self.ended_in_cr:
+            data = data[:-1]
+        # Only what is new is searched: an event may come in thousands of pieces.
+        searched = max(0, len(self.rest) - 1)
+        self.rest += data.replace(b"\r\n", b"\n")
+        blocks = []
+        if self.rest.find(b"\n\n", searched) >= 0:
+            blocks = bytes(self.rest).split(b"\n\n")
+            self.rest = bytearray(blocks.pop())
         if len(self.rest) > self.max_event_bytes:
             raise EventTooLong(f"an event of more than {self.max_event_bytes} bytes")
         found = []
--- a/lapiswing/node/discovery.py
+++ b/lapiswing/node/discovery.py
@@ -26,7 +26,9 @@
 REJECTED_DELAY_US, MAX_REJECTED_DELAY_US = 250 * MS, 1000 * MS  # after a rejected call: doubled each time up to the maximum
 REJECTION_STATUSES = (429, 503)
 MIN_PROGRESS_BYTES = 65536  # an answer that has brought this much when its time runs out is long, not stalled
-MAX_LIST_BYTES = 8 << 20
+MAX_LIST_BYTES = 4 << 20
+MAX_ROWS = 16_384  # in one answer
+MAX_LIST_COMMAS = 16 * MAX_ROWS  # more than such a list has; counted before anything is decoded
 
 
 class Endpoint(msgspec.Struct):
@@ -60,6 +62,16 @@
 ROW_DECODER, NAME_DECODER = msgspec.json.Decoder(Endpoint), msgspec.json.Decoder(RowName)
 
 
+def decode_list(body):
+    """-> Targets. Raises ValueError, before it decodes anything, if the list is far longer than any fleet's."""
+    if body.count(b",") > MAX_LIST_COMMAS:
+        raise ValueError("the list is too long")
+    targets = LIST_DECODER.decode(body)
+    if len(targets.endpoints) > MAX_ROWS:
+        raise ValueError(f"the list has more than {MAX_ROWS} rows")
+    return targets
+
+
 class ServerList:
     """The current list of servers by name. `apply` raises ValueError and changes nothing if no row of a whole list can be
     read. A server whose own row can't be read is removed, as it may be draining and must get no new requests. `faults`
@@ -203,7 +215,7 @@
         try:
             if status != 200:
                 raise ValueError(f"status {status}")
-            targets = LIST_DECODER.decode(body)
+            targets = decode_list(body)
             self.server_list.apply(targets, self.loop.clock.now_us())
         except (ValueError, msgspec.MsgspecError) as problem:
             return self.failed(call, f"can't be read: {problem}")
@@ -223,7 +235,7 @@
     """Collects the answer to one call, up to MAX_LIST_BYTES."""
 
     def __init__(self, discovery):
-        self.discovery, self.status, self.parts, self.size, self.over = discovery, None, [], 0, False
+        self.discovery, self.status, self.body, self.size, self.over = discovery, None, bytearray(), 0, False
 
     def on_head(self, status, fields):
         self.status = status
@@ -231,12 +243,12 @@
     def on_body(self, data):
         self.size += len(data)
         if self.size <= MAX_LIST_BYTES:
-            self.parts.append(data)
+            self.body += data
 
     def on_end(self):
         if not self.over:
             whole = self.size <= MAX_LIST_BYTES
-            self.discovery.answered(self, self.status, b"".join(self.parts) if whole else b"")
+            self.discovery.answered(self, self.status, bytes(self.body) if whole else b"")
 
     def on_fail(self, stage, why):
         if not self.over:
--- a/tests/test_input_costs.py
+++ b/tests/test_input_costs.py
@@ -1,15 +1,18 @@
 """What a peer sends costs a bounded number of steps for its size, and unreadable numbers are its own fault."""
 
 import socket
+import tracemalloc
 
 import pytest
 from gateway_site import GatewaySite, RawClient, chat, post, status
 from platform_harness import PlatformHarness, head
 from test_websocket import frame, opened
 
+from lapiswing.chat import EventParser
 from lapiswing.gateway.fronts import websocket
 from lapiswing.http1.client import MAX_INTERIM_ANSWERS, ClientConnection
 from lapiswing.loop import Stream
+from lapiswing.node.discovery import MAX_LIST_COMMAS, MAX_ROWS, decode_list
 
 
 @pytest.mark.parametrize("extra", ("prompt_len=" + "9" * 5000, "prompt_len=\u00b2", "," * 5000))
@@ -72,3 +75,37 @@
         raw.sock.setblocking(False)
         site.until(lambda: raw.read().count(b"\x8a\x00") >= 1 and (turns.append(1) or raw.got.count(b"\x8a\x00") == 2000))
         assert len(turns) >= 2000 // websocket.MAX_EVENTS_PER_CALL
+
+
+def test_an_event_in_small_pieces_is_not_searched_again_and_again():
+    """Guards against an event of a megabyte whose every piece costs a copy of all that has come."""
+    parser, size = EventParser(1 << 20), 1 << 19
+    tracemalloc.start()
+    for _ in range(size // 64):
+        before = tracemalloc.get_traced_memory()[0]
+        tracemalloc.reset_peak()
+        assert parser.feed(b"x" * 64) == []
+        if len(parser.rest) % 4096 == 0 and len(parser.rest) > 65536:
+            assert tracemalloc.get_traced_memory()[1] - before < len(parser.rest) // 2
+    tracemalloc.stop()
+    assert parser.feed(b"\n\n") == []
+
+
+@pytest.mark.parametrize("piece", (1, 2, 3, 100))
+def test_events_in_pieces_with_either_line_end(piece):
+    data = b'data: {"a":1}\r\n\r\ndata: 2\r\ndata: 3\r\n\r\n: comment\n\ndata: 4\n\n\ndata: 5\n\n'
+    parser, found = EventParser(1 << 20), []
+    for start in range(0, len(data), piece):
+        found += parser.feed(data[start : start + piece])
+    assert found == [b'{"a":1}', b"2 3", b"4", b"5"]
+
+
+@pytest.mark.parametrize("rows", (b"1" + b",1" * (MAX_LIST_COMMAS + 1), b"{}" + b",{}" * MAX_ROWS))
+def test_a_list_far_longer_than_any_fleets_is_refused(rows):
+    answer = b'{"index":1,"snapshot":true,"endpoints":[%b]}' % rows
+    tracemalloc.start()
+    with pytest.raises(ValueError):
+        decode_list(answer)
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    assert peak < 4 << 20
