--- a/lapiswing/gateway/serve.py
+++ b/lapiswing/gateway/serve.py
@@ -99,9 +99,20 @@
                 all_unfinished_bytes=max(listen.unfinished_bytes, listen.head_bytes + listen.body_bytes),
             ),
         )
+        self.server.on_limit = self.log_input_limit
         self.listener, self.servers_file_stamp, self.stop_signals = None, None, 0
         self.list_fault = self.admin = None
 
+    def log_input_limit(self, at_limit):
+        """Logs that incomplete requests begin or cease to be refused."""
+        account = self.server.account
+        self.log.warning(
+            "incomplete requests refused",
+            state="begins" if at_limit else "over",
+            unfinished_bytes=account.unfinished_bytes,
+            refused=account.refused,
+        )
+
     def unix_to_us(self, ms):
         """Converts Unix milliseconds to the loop's time."""
         return ms * MS + self.unix_offset_us
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -458,6 +458,7 @@
         self.connections, self.listener, self.closing = set(), None, False
         self.requests = self.refused = 0
         self.account = InputAccount()
+        self.at_limit, self.on_limit = False, None  # `on_limit(bool)`: incomplete requests begin or cease to be refused
         self.sweep_timer = loop.call_later(1_000_000, self.sweep)
 
     def accept(self, stream, peer):
@@ -482,6 +483,8 @@
         now = self.loop.now
         for conn in list(self.connections):
             self.loop.guard(conn.stream, conn.check_timeouts, now)
+        if self.account.unfinished_bytes <= limits.all_unfinished_bytes // 2:
+            self.set_at_limit(False)
         if limits.first_request_us is not None:
             self.close_long_idle()
 
@@ -526,6 +529,7 @@
         limit, account = self.limits.all_unfinished_bytes, self.account
         if account.unfinished_bytes <= limit:
             return
+        self.set_at_limit(True)
         part = limit // len(self.connections)
         found = [conn for conn in self.connections if conn.unfinished_bytes > part and not conn.stream.closing]
         found.sort(key=lambda conn: (conn.stream.last_progress_us, -conn.unfinished_bytes))
@@ -535,6 +539,13 @@
             account.refused += 1
             conn.refuse(503, "too many incomplete requests")
 
+    def set_at_limit(self, at_limit):
+        """Calls `on_limit` if the state differs."""
+        if at_limit != self.at_limit:
+            self.at_limit = at_limit
+            if self.on_limit is not None:
+                self.on_limit(at_limit)
+
     @staticmethod
     def answer_refused(sock):
         """Answers what has already arrived on a connection beyond the listener's limit."""
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -191,6 +191,7 @@
                 all_unfinished_bytes=max(HEAD_BYTES + MAX_BODY_BYTES, memory_bytes // UNFINISHED_PART),
             ),
         )
+        self.server.on_limit = self.log_input_limit
         self.subscribe = settings.get("membership_mode") == "subscribe"
         self.listener = self.discovery = self.reload_timer = self.fault = None
         self.logged_port_wait = False
@@ -313,6 +314,10 @@
             "turns_over_budget": self.loop.turns_over_budget,
         }
 
+    def log_input_limit(self, at_limit):
+        """Logs that incomplete requests begin or cease to be refused."""
+        self.log.warning("incomplete requests refused", state="begins" if at_limit else "over", **self.input_figures())
+
     def reload(self, attempts_left=RELOAD_ATTEMPTS):
         """Applies a changed discovery address; if the file can't be read the last configuration stays in use. The signal comes
         only once and may find a half-written file or no free descriptor, so reading is retried for a while."""
--- a/tests/test_chunked.py
+++ b/tests/test_chunked.py
@@ -95,7 +95,7 @@
 
 @pytest.mark.parametrize("filling", (b"\n", b"\r\n", b"0\r\n\r\n", b"x"))
 def test_the_work_on_a_chunk_does_not_depend_on_its_bytes(filling):
-    """Guards against a scan by lines: 262,144 steps for 256 KiB of line ends, and 150 such bodies stopped the gateway for 20 s."""
+    """Guards against a scan by lines: 262,144 steps for 256 KiB of line ends; 150 such bodies stopped the gateway for 20 s."""
     decoder = ChunkedDecoder(BODY_BYTES)
     data = (filling * BODY_BYTES)[:BODY_BYTES]
     assert decoder.decode(bytearray(b"%x\r\n" % BODY_BYTES + data + b"\r\n0\r\n\r\n"))
--- a/tests/test_input_memory.py
+++ b/tests/test_input_memory.py
@@ -62,6 +62,9 @@
         harness.until(lambda: half.refused() >= 60 - limit // FULL_BYTES)
         assert harness.ask("usual").wait_answer().status == 200
         assert half.refused() < 60  # those within the limit have their time
+        harness.until(lambda: not harness.node.server.at_limit)
+        logged = [fields["state"] for event, fields in harness.log.lines if event == "incomplete requests refused"]
+        assert logged == ["begins", "over"]
 
 
 def test_a_usual_request_that_comes_slowly_is_spared(tmp_path):
