--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -7,7 +7,7 @@
 from lapiswing.http1.wire import STATUS_LINE, ProtocolError, check_framing, has_token, request_head, split_head
 from lapiswing.loop import NO_DESCRIPTOR, connect
 
-HEAD_BYTES = 65536  # limit of an answer's head
+HEAD_BYTES = 16384  # limit of an answer's head
 MAX_INTERIM_ANSWERS = 32  # 1xx answers before the answer to a request
 SETTLE_US = 20_000  # rest of a connection after an answer: servers' faulty second answers come some milliseconds late
 WIDESPREAD_AFTER_US = 60_000  # long enough for three attempts to connect
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -1,162 +1,18 @@
 """The server side. `app(exchange)` is called when a whole request has been received."""
 
-from collections import deque
-from dataclasses import dataclass
-
-import orjson
-
 from lapiswing.http1.chunked import ChunkedDecoder
-from lapiswing.http1.wire import REQUEST_LINE, ProtocolError, check_framing, chunk, get, has_token, response_head, split_head
+from lapiswing.http1.exchange import Exchange
+from lapiswing.http1.input_account import Arrivals, InputAccount
+from lapiswing.http1.limits import DEFAULT_LIMITS
+from lapiswing.http1.wire import REQUEST_LINE, ProtocolError, check_framing, get, response_head, split_head
 
 MAX_ROOM_CANDIDATES = 64  # connections examined in one search for room
-ARRIVAL_MERGE_US = 10_000  # reads closer together count as one, at the earlier time
 REFUSAL_READ_BYTES = 65536  # closing with unread bytes would reset the connection and destroy the answer
 FIELD_OVERHEAD_BYTES = 144  # kept for a header field, on top of its bytes
 MAX_EMPTY_LINES = 16  # before a request
 MIN_PIPELINED_BYTES = 4096  # each connection may buffer this much behind an open request, whatever the others do
 
 
-@dataclass(frozen=True)
-class Limits:
-    """Bytes and microseconds. A head or body that is not complete in its time is answered 408 and the connection closed;
-    `idle_us` limits the wait for a next request; a client that reads nothing for `stall_us` while bytes wait for it is
-    treated as gone."""
-
-    head_bytes: int = 32768
-    body_bytes: int = 4 << 20
-    head_us: int = 10_000_000
-    body_us: int = 30_000_000
-    idle_us: int = 75_000_000
-    stall_us: int = 30_000_000
-    pipelined_bytes: int = 65536
-    all_pipelined_bytes: int = 4 << 20  # over all connections; beyond it each may buffer only `MIN_PIPELINED_BYTES`
-    all_unfinished_bytes: int = 64 << 20  # of incomplete requests, over all connections; beyond it some are refused
-    connections: int = 4096
-    first_request_us: int | None = None  # from the opening of a connection until its first request is complete
-    linger_us: int = 1_000_000  # after a last answer while its client still sends
-    reclaim_idle_us: int = 2_000_000  # connections idle for this long may be closed when connections run short
-
-
-class Exchange:
-    """One request and its answer. Answer with `respond`, or with `begin`, `send`... and `end`. `on_left()` is called once
-    if the client leaves before the answer's end, `on_drained()` when `full` has become false again."""
-
-    on_left = on_drained = None
-    head_bytes = 0  # kept of the head
-
-    def __init__(self, conn, method, target, fields, version):
-        self.conn, self.method, self.target, self.fields, self.version = conn, method, target, fields, version
-        self.path = target.split(b"?", 1)[0]
-        self.body, self.begun, self.over, self.chunked = b"", False, False, False
-        self.arrived_us = conn.server.loop.now  # earliest time at which its first byte can have arrived
-        self.keep_alive = (
-            not has_token(fields, b"connection", b"close")
-            if version == b"1.1"
-            else has_token(fields, b"connection", b"keep-alive")
-        )
-
-    def header(self, name, default=None):
-        """-> the first value of a header."""
-        return get(self.fields, name, default)
-
-    @property
-    def full(self):
-        """Whether the client reads more slowly than the answer is written."""
-        return self.conn.stream.full
-
-    def poll_client(self):
-        """Notices at once, without waiting for the loop's next turn, if the client has gone."""
-        if not self.over:
-            self.conn.stream.read_available()
-
-    def respond(self, status, body=b"", content_type=b"application/json", more=()):
-        """Writes a whole answer."""
-        if self.begun or self.over:
-            return
-        self.begun = True
-        fields = [(b"content-type", content_type), (b"content-length", b"%d" % len(body)), *more]
-        if not self.keep_alive or self.conn.is_last_answer():
-            self.keep_alive = False
-            fields.append((b"connection", b"close"))
-        self.write(response_head(status, fields) + (b"" if self.method == b"HEAD" else body))
-        self.end()
-
-    def json(self, status, value, more=()):
-        """Like `respond`, with a value to be encoded."""
-        self.respond(status, orjson.dumps(value), more=more)
-
-    def begin(self, status, fields):
-        """Starts an answer of unknown length: chunked, or for HTTP/1.0 ended by the connection's close."""
-        self.begun = True
-        self.chunked = self.version == b"1.1"
-        self.keep_alive = self.keep_alive and not self.conn.is_last_answer()
-        if self.chunked:
-            fields = [*fields, (b"transfer-encoding", b"chunked")]
-        else:
-            self.keep_alive = False
-        if not self.keep_alive:
-            fields = [*fields, (b"connection", b"close")]
-        self.write(response_head(status, fields))
-
-    def send(self, data):
-        """Writes a part of an answer that has begun."""
-        if data and not self.over:
-            self.write(chunk(data) if self.chunked else data)
-
-    def end(self):
-        """Completes the answer."""
-        if self.over:
-            return
-        if self.chunked:
-            self.write(b"0\r\n\r\n")
-        self.over, self.on_left, self.on_drained = True, None, None
-        self.conn.answered(self)
-
-    def abort(self):
-        """Ends the answer so that the client notices that it is incomplete."""
-        if not self.over:
-            self.over, self.on_left, self.on_drained = True, None, None
-            self.conn.stream.abort()
-
-    def write(self, data):
-        self.conn.stream.write(data)
-
-    def upgrade(self, owner):
-        """Hands the stream over to `owner` for another protocol. -> the bytes received after the request. The new owner
-        calls `server.gone()` when its stream has closed."""
-        conn, self.over = self.conn, True
-        conn.current = None
-        conn.server.connections.discard(conn)
-        conn.stream.owner = owner
-        rest = bytes(conn.buffer)
-        conn.buffer.clear()
-        return rest
-
-
-class Arrivals:
-    """Earliest arrival times of the bytes that are not parsed yet."""
-
-    def __init__(self):
-        self.parts, self.size = deque(), 0  # of [bytes, time]
-
-    def add(self, size, at_us):
-        self.size += size
-        if self.parts and at_us - self.parts[-1][1] < ARRIVAL_MERGE_US:
-            self.parts[-1][0] += size
-        else:
-            self.parts.append([size, at_us])
-
-    def earliest(self, unparsed):
-        """-> the time of the oldest of the last `unparsed` bytes; forgets the bytes before them."""
-        while len(self.parts) > 1 and self.size - self.parts[0][0] >= unparsed:
-            self.size -= self.parts.popleft()[0]
-        return self.parts[0][1]
-
-    def clear(self):
-        self.parts.clear()
-        self.size = 0
-
-
 class Connection:
     """Owner of one client's stream. Requests are answered in order. While one is being answered, later input is buffered
     unparsed up to a limit; beyond it the input is discarded and the connection ends with the current answer."""
@@ -404,6 +260,8 @@
     def check_timeouts(self, now):
         """Called periodically by the server."""
         limits, elapsed_us = self.server.limits, now - self.phase_since_us
+        if self.stream.closed:
+            return
         if self.stream.lingering is not None:
             return  # a lingering close has its own timer
         if self.phase == "idle" and not self.stream.closing and self.stream.pending():
@@ -442,18 +300,10 @@
             self.current.on_drained()
 
 
-class InputAccount:
-    """Bytes of input that a server keeps, over all connections: for requests that are not complete, and behind open ones."""
-
-    def __init__(self):
-        self.unfinished_bytes = self.pipelined_bytes = 0
-        self.refused = 0  # requests that were refused because of them
-
-
 class Server:
     """Serves `app` on the streams of a listener, whose `on_stream` is `accept`."""
 
-    def __init__(self, loop, app, limits=Limits()):
+    def __init__(self, loop, app, limits=DEFAULT_LIMITS):
         self.loop, self.app, self.limits = loop, app, limits
         self.connections, self.listener, self.closing = set(), None, False
         self.requests = self.refused = 0
@@ -480,9 +330,9 @@
         limits = self.limits
         pause = min(1_000_000, limits.head_us, limits.first_request_us // 8 if limits.first_request_us else 1_000_000)
         self.sweep_timer = self.loop.call_later(pause, self.sweep)
-        now = self.loop.now
         for conn in list(self.connections):
-            self.loop.guard(conn.stream, conn.check_timeouts, now)
+            # Under the budget of the turns, as many may be due at once and each is answered.
+            self.loop.put_off_call(conn.stream, conn.check_timeouts, self.loop.now)
         if self.account.unfinished_bytes <= limits.all_unfinished_bytes // 2:
             self.set_at_limit(False)
         if limits.first_request_us is not None:
--- a/tests/test_turn_budget.py
+++ b/tests/test_turn_budget.py
@@ -160,6 +160,19 @@
         assert max(kept) < 2 * limit
 
 
+def test_time_outs_that_fall_due_together_take_turns(tmp_path):
+    """Guards against hundreds of late requests that are all answered 408 in one turn."""
+    with PlatformHarness(tmp_path) as harness:
+        clients = [harness.client(READY[:-2]) for _ in range(40)]
+        connections = harness.node.server.connections
+        harness.until(lambda: sum(connection.phase == "head" for connection in connections) == 40)
+        for connection in connections:
+            connection.opened_us -= 10_000_000
+        harness.node.server.sweep()
+        assert not any(client.status for client in clients)
+        harness.until(lambda: all(client.status == 408 for client in clients))
+
+
 def test_empty_lines_before_a_request_are_limited(tmp_path):
     with PlatformHarness(tmp_path) as harness:
         assert harness.client(b"\r\n" * MAX_EMPTY_LINES + READY).wait_answer().status == 200
