A request whose kept connection ended before anything was sent gets a new one

Since the look right before sending, such a request ended as unsent, which counts against its server (unreachable, and towards a zone that looks cut off) although the connection was merely closed or had brought a second answer. The pool opens a new connection for it; the head is made anew, so that the time told is right.

--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -84,28 +84,29 @@
         self.interim_answers = 0
         self.searched_bytes = 0  # of the buffer, in which the end of the head does not begin
         self.sent_before = self.stream.sent
-        if self.stream.sent:
+        self.used = self.stream.sent > 0
+        if self.used:
             self.stream.check_before_send = self.has_no_input
         head, body = exchange.make_head(), exchange.body
         exchange.size = len(head) + len(body)
-        exchange.make_head = exchange.body = None
+        if not self.used:
+            exchange.make_head = exchange.body = None
         self.stream.write(head)
         self.stream.write(body)
 
     def has_no_input(self):
-        """Closes the connection if anything has arrived before the request is sent, as that belongs to an earlier one. The
-        exchange ends as unsent, so that it may be repeated elsewhere. -> whether nothing has arrived."""
-        if not self.stream.pending():
-            return True
-        self.close_reason = "bytes before the request"
-        self.stream.abort()
-        return False
+        """Closes the connection if anything has arrived before the request is sent, as that belongs to an earlier one.
+        -> whether nothing has arrived."""
+        if self.stream.pending():
+            self.stream.abort()
+            return False
+        self.exchange.make_head = self.exchange.body = None
+        return True
 
     def on_data(self, data):
         exchange = self.exchange
         if exchange is None or self.stream.sent == self.sent_before:
-            self.close_reason = "bytes before the request"
-            return self.stream.abort()
+            return self.stream.abort()  # bytes before a request
         try:
             if not exchange.got_head:
                 self.buffer += data
@@ -226,12 +227,16 @@
         self.stream.abort()
 
     close_reason = None
+    used = False  # whether an earlier exchange was served
 
     def on_closed(self, why):
         self.pool.connection_closed(self)
         exchange, self.exchange, self.parser = self.exchange, None, None
         if exchange is None or exchange.over:
             return
+        if self.used and self.stream.sent == self.sent_before:
+            # A kept connection that ended, or brought bytes, before anything was sent on it: the request gets a new one.
+            return self.pool.open_connection(exchange)
         if exchange.got_head:
             stage = "body"
         elif self.buffer:
@@ -368,6 +373,7 @@
     def open_connection(self, exchange):
         """Connects for an exchange."""
         address = exchange.address
+        exchange.conn = None
         if self.max_total is not None and sum(self.open_count.values()) >= self.max_total and not self.close_oldest_idle():
             # Leaves descriptors for other uses. Fails at once, as a queued request may hold a server's state.
             return self.loop.soon(exchange.fail, "local", NO_DESCRIPTOR)
