--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -131,7 +131,7 @@
             if end > HEAD_BYTES or end < 0 and len(self.buffer) > HEAD_BYTES:
                 raise ProtocolError("the head is too long")
             if end < 0:
-                # Fails early on what can't become a status line, instead of collecting 64 KB of it.
+                # Fails early on what can't become a status line, instead of collecting as much as a head may have.
                 if not (b"HTTP/1."[: len(self.buffer)] == self.buffer[:7]):
                     raise ProtocolError("not an HTTP answer")
                 self.searched_bytes = max(0, len(self.buffer) - len(b"\r\n\r"))
@@ -452,8 +452,9 @@
     def sweep(self):
         """Once a second: closes connections that have been idle for too long."""
         self.sweep_timer = self.loop.call_later(1_000_000, self.sweep)
+        now_us = self.loop.clock.now_us()
         for address in list(self.idle):
-            for conn in [c for c in self.idle[address] if self.loop.clock.now_us() - c.idle_us > self.idle_us]:
+            for conn in [c for c in self.idle[address] if now_us - c.idle_us > self.idle_us]:
                 conn.stream.close()
             if not self.idle[address]:
                 del self.idle[address]
--- a/lapiswing/http1/wire.py
+++ b/lapiswing/http1/wire.py
@@ -4,6 +4,7 @@
 request smuggling (RFC 9112, section 11.2), so every head is checked byte by byte first."""
 
 import re
+from functools import cache
 from http import HTTPStatus
 
 REASONS = {s.value: s.phrase for s in HTTPStatus}
@@ -73,8 +74,13 @@
 
 def has_token(fields, name, token):
     """-> whether a header that is a comma-separated list contains a token, in upper or lower case."""
-    pattern = re.compile(rb"(?:^|,)[ \t]*%b[ \t]*(?:,|$)" % re.escape(token), re.IGNORECASE)
-    return any(n == name and pattern.search(v) for n, v in fields)
+    return any(n == name and token_pattern(token).search(v) for n, v in fields)
+
+
+@cache
+def token_pattern(token):
+    """-> a pattern that finds the token in a comma-separated list."""
+    return re.compile(rb"(?:^|,)[ \t]*%b[ \t]*(?:,|$)" % re.escape(token), re.IGNORECASE)
 
 
 def response_head(status, fields):
--- a/lapiswing/loop/stream.py
+++ b/lapiswing/loop/stream.py
@@ -200,9 +200,10 @@
         """Sends buffered output until the kernel accepts no more."""
         if self.closed or self.blocked or self.memory_timer is not None:
             return
-        check, self.check_before_send = self.check_before_send, None
-        if check is not None and not check():
-            return
+        if self.check_before_send is not None:
+            check, self.check_before_send = self.check_before_send, None
+            if not check():
+                return
         out = self.out
         while out:
             try:
