--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -531,17 +531,19 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {'on' if trouble else 'off'}")
     gateways = []
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the gateways are ended then, too
     with tempfile.TemporaryDirectory() as temp:
         try:
             breaks = asyncio.run(asyncio.wait_for(main(record, Path(temp), trouble, gateways), 100))
             code = 1 if breaks else 0
-        except (TimeoutError, CantRun, OSError) as problem:
+        except Exception as problem:  # a fault of the script is no broken rule
             breaks, code = [f"could not run: {type(problem).__name__} {problem}"], 2
         finally:
             for gateway in gateways:
                 gateway.end()
         for gateway in gateways:
-            for line in (Path(temp) / f"{gateway.name}.log").read_text(errors="replace").splitlines():
+            log = Path(temp) / f"{gateway.name}.log"
+            for line in log.read_text(errors="replace").splitlines() if log.exists() else ():
                 record.file.write(f"log {gateway.name}: {line[:400]}\n")
     for line in breaks:
         record(line)
