--- a/review/9/case.py
+++ b/review/9/case.py
@@ -11,6 +11,7 @@
 
 GRACE_S, SLACK_S = 0.5, 0.05
 SILENT_S = 8.0
+GATEWAYS = 3  # of which one dies
 
 
 async def main(record, folder, trouble, gateways):
@@ -30,10 +31,13 @@
         server.fault = draining
     discovery = Discovery(record, lambda: [s.row() for s in fleet.servers.values()])
     await discovery.start()
-    gateway = Gateway(record, folder, "n1", suva_catchup(), discovery.address, discovery.whole())
-    gateways.append(gateway)
-    gateway.start()
-    await gateway.ready()
+    for i in range(GATEWAYS):
+        settings = {**suva_catchup(), "Balancers": GATEWAYS, "Me": i}
+        gateways.append(Gateway(record, folder, f"n{i}", settings, discovery.address, discovery.whole()))
+        gateways[i].start()
+    for each in gateways:
+        await each.ready()
+    gateway, serving = gateways[0], list(gateways)  # the one that dies; those to which the front sends
     tasks, count = [], 0
 
     async def traffic(seconds):
@@ -41,21 +45,22 @@
         end = now() + seconds
         while now() < end:
             count += 1
-            tasks.append(asyncio.ensure_future(ask(record, gateway, f"a{count}", "catchup-chat", 6.0)))
-            await asyncio.sleep(0.1)
+            tasks.append(asyncio.ensure_future(ask(record, serving[count % len(serving)], f"a{count}", "catchup-chat", 6.0)))
+            await asyncio.sleep(0.05)
 
     await traffic(4)
     gateway.kill()
-    await asyncio.sleep(0.5)
+    serving.remove(gateway)
+    await traffic(0.5)
     for name in ("r0", "w0"):
         fleet.servers[name].status = "DRAINING"
     discovery.tell(fleet.servers["r0"].row(), fleet.servers["w0"].row())  # from now on the agent has it
-    await asyncio.sleep(1.0)
+    await traffic(1.0)
     silent_since = now()
     if trouble:
         record("SILENT: discovery is down")
         discovery.silent = True
-    await asyncio.sleep(0.5)
+    await traffic(0.5)
     born = now()
     gateway.start()  # with the list that it held when it was killed
 
@@ -67,6 +72,7 @@
 
     back = asyncio.ensure_future(return_of_discovery())
     await gateway.ready()
+    serving.append(gateway)
     await traffic(max(3.0, silent_since + SILENT_S + 2 - now()))
     await back
     await asyncio.gather(*tasks)
