A state is released in time after its client has left, too

Ruled out: a lost release (none was sent), the connection's time-out (it was open), cancelling sites (the attempts end with the client). At fault: Router.check_claim, which left the release out where req.closed; on_client_left sets that, and the request's attempts stay out until the client's former deadline.

The check now asks only whether its attempt still has no answer.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -133,7 +133,7 @@
 
     def on_timer(self, token):
         if token:
-            return self.check_claim(token)
+            return self.check_release(token)
         self.timer_set = False
         if self.must_subscribe and not self.subscribed and self.now >= self.subscribe_again_us:
             self.subscribe_again_us = self.now + 1000 * MS
@@ -627,22 +627,22 @@
             server.next_probe_us = self.now + self.probe_interval_us
         self.out.forward(req.id, server.id, max(MS, req.expires - self.now - self.margin_us), connect_us)
         if stage == "write" and req.holder is not None:
-            self.schedule_claim_check(req, number)
-
-    def schedule_claim_check(self, req, number):
-        """Sets a timer for a held state that a write attempt is to fetch."""
-        self.last_claim += 1
-        self.pending_claims[self.last_claim] = req.id, number
-        self.out.timer(max(MS, req.held_us + self.claim_us - self.now), self.last_claim)
-
-    def check_claim(self, token):
-        """Releases a state that no decode server has answered for by the end of its time. Guards against an attempt that never
-        arrived, on a connection that fell silent: then no server will fetch the state. The release drops a state only where
-        no attempt waits for it, so it does no harm to an attempt that has arrived. Drawback: one more message, and a second
-        prefill where the attempt arrives just after the release."""
-        rid, number = self.pending_claims.pop(token, (None, None))
+            self.schedule_release_check(req, number)
+
+    def schedule_release_check(self, req, number):
+        """Sets a timer for a held state that this attempt is to fetch."""
+        self.last_release_check += 1
+        self.release_checks[self.last_release_check] = req.id, number
+        self.out.timer(max(MS, req.held_since_us + self.claim_us - self.now), self.last_release_check)
+
+    def check_release(self, token):
+        """Releases a held state at the end of its time if the attempt has no answer by then, whether or not its client still
+        waits. Guards against an attempt that never arrived, on a connection that fell silent: then nothing stops the state's
+        time. The release drops a state only where no attempt waits for it, so it does no harm to an attempt that has arrived.
+        Drawback: one more message, and a second prefill where the attempt arrives just after the release."""
+        rid, number = self.release_checks.pop(token, (None, None))
         req = self.reqs.get(rid)
-        if req is not None and not req.closed and req.begun_attempt is None and req.attempts[number][3]:
+        if req is not None and req.begun_attempt is None and req.attempts[number][3]:
             self.out.release_unclaimed(rid)
 
     def give_up(self, req, retry_after_us=1 << 40):
@@ -759,7 +759,7 @@
                 self.answer_us[req.class_index] = usual_us + (took_us - usual_us) * 0.05 if usual_us else took_us
                 self.expected_stream_us[server.row] += usual_us or took_us
         if code == "read":
-            req.holder, req.held_us = server, self.now
+            req.holder, req.held_since_us = server, self.now
         req.closed = req.closed or bool(ended)
         if req.closed:
             self.clean_up(req)
--- a/lapiswing/routing/state.py
+++ b/lapiswing/routing/state.py
@@ -43,7 +43,7 @@
         self.arrived_us, self.due_us, self.expires, self.connect_by_us = now_us, due_us, expires_us, expires_us
         # Each attempt: [server, stage, sent, whether it is open, uncached prompt tokens, prompt tokens queued up to its end].
         self.attempts, self.open_attempts, self.tried = [], 0, set()
-        self.held_us = now_us  # since when the holder holds its state
+        self.held_since_us = None  # since when a server holds its state
         self.holder = self.begun_attempt = self.cold_writer = None  # cold_writer: a cold decode server that admits it
         # may_have_run: (server, sent) of attempts that may have had their effect.
         self.may_have_run, self.uncached_tokens, self.closed, self.over_quota = [], tokens, False, False
@@ -108,7 +108,8 @@
         self.answer_us = [0.0] * classes  # mean duration of an answer
         self.typical_read_us, self.typical_wait_us, self.modes = 0.0, 0.0, {}
         self.quota_left = {}  # by tenant: what was left of its quota, and when
-        self.last_claim, self.pending_claims = 0, {}  # states that an attempt is to fetch: (request, attempt) by timer token
+        # Checks whether a held state has to be released beside an attempt: (request, attempt) by timer token.
+        self.last_release_check, self.release_checks = 0, {}
         self.own_trouble = False  # this machine can open no connection
         self.restored_servers = {}  # servers of the previous process, by id
 
