The state of a read in doubt is released while the next attempt is out

Ruled out: the time for a new connection (bounded; the connection was kept), a lost release (none was sent). At fault: Router.send, which set the check of a held state for decodes with a known holder alone, and Core.release_unclaimed, which knew only such states.

--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -468,8 +468,12 @@
     def release_unclaimed(self, rid):
         """Releases states that no attempt waits for. Only where the states of a request share its name."""
         req = self.reqs.get(rid)
-        if req is not None and req.state is not None and self.engine.states_named_by_req:
+        if req is None or not self.engine.states_named_by_req:
+            return
+        if req.state is not None:
             self.engine.release(req.state[0], req.state[2])
+        elif req.left is not None:
+            self.engine.release(req.left, self.engine.state_name(self.name, rid))
 
     def retract(self, rid, number):
         """Cancels an attempt that has not begun to answer."""
