A repeat without an answer ends with the window in which servers drop it

What callers saw: a keyed request runs twice.

Ruled out: a send after the window (may_attempt and the guard look), a late connection (connect_time_left), a second copy. At fault: Router.send gave every attempt the client's deadline as its time-out; the window bounded the writing alone, not the arrival.

--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -582,22 +582,29 @@
             request_class.effect == "replayable"
             or not req.may_have_run
             or request_class.effect == "keyed"
-            and all(
-                self.repeat_time_left(request_class, sent_us) >= 0 and domain(first) == domain(server)
-                for first, sent_us in req.may_have_run
-            )
+            and self.repeat_time_left(req) > 0
+            and all(domain(first) == domain(server) for first, _ in req.may_have_run)
         )
 
-    def repeat_time_left(self, request_class, sent_us):
-        """Time in which the repeat of an attempt sent at `sent_us` may still be sent."""
-        return sent_us + request_class.repeat_window_us - REPEAT_WINDOW_MARGIN_US - self.now
+    def repeat_time_left(self, req):
+        """Time in which an attempt of the request may still reach a server: of a keyed request that may have run, until the
+        servers forget its first attempt; of any other, until it expires."""
+        request_class, ends_us = self.request_classes[req.class_index], req.expires
+        if request_class.effect == "keyed":
+            window_us = request_class.repeat_window_us - REPEAT_WINDOW_MARGIN_US
+            ends_us = min([ends_us] + [sent_us + window_us for _, sent_us in req.may_have_run])
+        return ends_us - self.now
 
     def connect_time_left(self, req):
         """Time in which an attempt's connection has to be up, for the release of a held state and for a repeat's window."""
-        request_class, left_us = self.request_classes[req.class_index], req.connect_by_us - self.now
-        if request_class.effect == "keyed":
-            left_us = min([left_us] + [self.repeat_time_left(request_class, sent_us) for _, sent_us in req.may_have_run])
-        return max(MIN_CONNECT_US, left_us)
+        return max(MIN_CONNECT_US, min(req.connect_by_us - self.now, self.repeat_time_left(req)))
+
+    def answer_time_left(self, req, stage):
+        """Time after which an attempt that has not begun to answer is given up. A repeat that may have its effect ends with its
+        window. Guards against one that is held up on its way and arrives when the first attempt is forgotten. Drawback: a
+        repeat that waits in a queue beyond the window is lost."""
+        left_us = req.expires - self.now - self.margin_us
+        return max(MS, left_us if stage == "read" else min(left_us, self.repeat_time_left(req)))
 
     def may_reject(self, req):
         """Whether the client may be told to retry: no attempt has run, or a repeat anywhere is harmless."""
@@ -613,7 +620,7 @@
         number, tokens_ahead = len(req.attempts), server.tokens_in_flight + req.uncached_tokens if stage != "write" else 0
         req.attempts.append([server, stage, self.now, True, req.uncached_tokens, tokens_ahead])
         req.open_attempts += 1
-        connect_us = self.connect_time_left(req)
+        timeout_us, connect_us = self.answer_time_left(req, stage), self.connect_time_left(req)
         if stage != "read":
             req.may_have_run.append((server, self.now))
             server.stream_tokens += req.tokens
@@ -625,7 +632,7 @@
         server.waiting[req.id, number] = (self.now, stage == "write")
         if server.ejected:
             server.next_probe_us = self.now + self.probe_interval_us
-        self.out.forward(req.id, server.id, max(MS, req.expires - self.now - self.margin_us), connect_us)
+        self.out.forward(req.id, server.id, timeout_us, connect_us)
         if req.held_since_us is not None:
             self.schedule_release_check(req, number)
 
