A client's retry with its key ends 0.2 s before the servers' window does

The path of the chat and WebSocket fronts that is related to the repeat in a cut connection: a call that is retried with its Idempotency-Key while the first try is in doubt had until the end of the servers' window, less some milliseconds. What is written then and held up arrives when the servers have forgotten the first try. At fault: Repeats.look_up, latest_us.

It leaves the margin that the decisions leave.

--- a/lapiswing/admission/repeats.py
+++ b/lapiswing/admission/repeats.py
@@ -12,8 +12,11 @@
     doubt      the call may have run and can't be run again
     full       there is no room for another key: the call is not accepted
 
-`latest_us`, returned with 'new', is when the servers that drop repeats may have forgotten the first call: no attempt of the
-new one may be sent after it. A doubt is kept beyond that window, else a client that asks later would run the call twice."""
+`latest_us`, returned with 'new', is by when attempts of the new call have to be answered or given up, so that none of them
+arrives where the servers that drop repeats have forgotten the first call. A doubt is kept beyond that window, else a client that
+asks later would run the call twice."""
+
+from lapiswing.policy import REPEAT_WINDOW_MARGIN_US
 
 DOUBT_WINDOWS = 12  # how long a doubt is kept, in windows of the request class
 
@@ -68,7 +71,7 @@
             return "join", entry, None
         if entry.state == "done" and entry.owner is not None:
             return "replay", entry, None
-        latest_us = (entry.sent_us or now_us) + entry.window_us
+        latest_us = (entry.sent_us or now_us) + entry.window_us - REPEAT_WINDOW_MARGIN_US
         if entry.wide == "always" or entry.wide and now_us < latest_us:
             entry.state, entry.owner = "running", None
             return "new", entry, latest_us if entry.wide == "boxes" else None
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -1,12 +1,14 @@
 """Decisions on idempotency keys: single cases, and the property that an effect is never allowed to run twice."""
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from lapiswing.admission import Repeats
 
 MS = 1000
 WINDOW_US = 5000 * MS
+# What is written in time may arrive later than the gateway thinks by as much as this: a process that is held up, the network.
+DELAY_US = 200 * MS
 
 
 def look_up(repeats, at_ms, key="k", body=b"a", wide="boxes"):
@@ -30,11 +32,12 @@
     repeats.mark_sent(entry, 3 * MS)
     repeats.mark_in_doubt(entry, 900 * MS)
     what, again, latest = look_up(repeats, 1000)
-    assert (what, latest) == ("new", 3 * MS + WINDOW_US)
+    assert (what, latest) == ("new", 3 * MS + WINDOW_US - DELAY_US)
     repeats.mark_never_ran(again)  # rejected, but the first call may have run all the same
     assert look_up(repeats, 4000)[0] == "new"
     repeats.mark_in_doubt(again, 4100 * MS)
-    assert look_up(repeats, 5100)[0] == "doubt" and look_up(repeats, 59000)[0] == "doubt"
+    # From 4803 ms on an attempt could arrive after the window.
+    assert [look_up(repeats, at_ms)[0] for at_ms in (4803, 5100, 59000)] == ["doubt"] * 3
 
 
 def test_doubt_where_not_all_servers_drop_repeats():
@@ -78,6 +81,7 @@
 
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(STEPS, st.sampled_from(["boxes", ""]))
+@example([("a", "ask", 1), ("a", "sent", 1), ("a", "doubt", 1), ("a", "ask", 1)], "boxes")
 def test_a_call_that_may_have_run_runs_again_only_within_the_servers_window(steps, wide):
     repeats, now, ran, entries, until = Repeats(2, 500), 0, {}, {}, {}
     for key, what, past in steps:
@@ -87,7 +91,7 @@
             result, entry, latest = repeats.look_up(now, key, b"", WINDOW_US, wide)
             if result == "new":
                 if key in ran and entry.sent_us is not None:
-                    assert wide and latest == ran[key] + WINDOW_US > now
+                    assert wide and now < latest == ran[key] + WINDOW_US - DELAY_US
                 else:
                     assert key not in ran or now >= ran[key] + WINDOW_US
                     ran.pop(key, None)
