A restarted gateway doesn't serve from its saved list where lists are pushed

What callers saw: one gateway of three is killed, two servers begin to drain, discovery falls silent, the gateway comes back. What the agent has counts as told from the first moment of a new process.

Ruled out: a change that was heard and not acted on (no answer came), the grace. At fault: Node.start, which applied the saved list before discovery was asked, and the readiness, which looked at the rows alone.

membership/startup.py decides the start: where lists are pushed requests are rejected at once until discovery has sent a list, and the gateway is not ready meanwhile, for 3 s at most. Asked lists are as before.

--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -17,6 +17,7 @@
 from lapiswing.loop.errnos import Cause, connect_error_cause
 from lapiswing.membership import Membership
 from lapiswing.membership.starts import ServerStarts
+from lapiswing.membership.startup import Startup
 from lapiswing.node import config as configs
 from lapiswing.node import view
 from lapiswing.node.discovery import LIST_DECODER, Discovery, ServerList
@@ -173,7 +174,9 @@
         self.pool.local_failures.on_change = self.core.report_own_trouble
         self.server_list = ServerList(settings["kinds"], settings["zones"], ServerStarts(wall_clock.offset_us(self.loop.clock)))
         tenants = [str(tenant.get("name")) for tenant in settings.get("tenants") or []]
-        self.front = Front(self.core, settings["groups"], tenants, lambda: bool(self.server_list.rows) and not self.stopping)
+        self.subscribe = settings.get("membership_mode") == "subscribe"
+        self.startup = Startup(not self.subscribe, self.config.known is not None, clock.now_us())
+        self.front = Front(self.core, settings["groups"], tenants, self.is_ready)
         self.server = Server(
             self.loop,
             self.front.app,
@@ -192,7 +195,6 @@
             ),
         )
         self.server.on_limit = self.log_input_limit
-        self.subscribe = settings.get("membership_mode") == "subscribe"
         self.listener = self.discovery = self.reload_timer = self.fault = None
         self.logged_port_wait = False
         self.stopping, self.stopped_us = False, 0
@@ -211,9 +213,12 @@
         return cls(path, log)
 
     def start(self):
-        """Applies the known list, starts discovery and listens, now or as soon as the port is free."""
-        self.load_known_list()
-        self.core.turn()
+        """Applies the saved list if it may be used, starts discovery and listens, now or as soon as the port is free."""
+        if self.startup.uses_saved_list:
+            self.load_known_list()
+            self.core.turn()
+        elif self.startup.has_saved_list:
+            self.log.info("saved list not used")
         self.discovery = Discovery(
             self.loop,
             self.discovery_pool,
@@ -262,10 +267,12 @@
             self.log.warning("can't listen yet", at=self.config.listen, why=problem.strerror)
         self.loop.call_later(LISTEN_RETRY_US, self.listen)
 
+    def is_ready(self):
+        """Whether clients may be sent here."""
+        return not self.stopping and self.startup.is_ready(bool(self.server_list.rows), self.loop.clock.now_us())
+
     def load_known_list(self):
-        """Applies the server list in the configuration, if it has one."""
-        if self.config.known is None:
-            return
+        """Applies the server list in the configuration."""
         try:
             self.server_list.apply(LIST_DECODER.decode(msgspec.json.encode(self.config.known)), self.loop.clock.now_us())
         except (ValueError, msgspec.MsgspecError) as problem:
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -69,7 +69,7 @@
         # Read time per prompt token until one is measured: what the TTFT target allows for it.
         self.initial_us_per_token = max([c.target_per_1000_us / 1000 for c in self.request_classes] + [0.0]) or 50.0
         self.margin_us, self.cold_multiple = settings.get("resolution_us", MS), rules["fall_multiple"]
-        self.cold_from, self.slow_start_us = rules["cold_from"], rules["ramp_time_us"] * 1.2
+        self.cold_from, self.slow_start_us, self.cold_until = rules["cold_from"], rules["ramp_time_us"] * 1.2, 0
         self.overload_window_us = rules["overload_for_us"]  # in which a cold server's work is counted
         release_limit_us = family.get("let_go_by_us") or 500 * MS
         self.connect_us, self.claim_us = int(release_limit_us * CONNECT_FRACTION), int(release_limit_us * CLAIM_FRACTION)
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -123,6 +123,11 @@
         """-> a new connection on which one request has been sent."""
         return self.client(head(rid, body, **fields) + body)
 
+    def wait_ready(self):
+        """Waits until the gateway reports that clients may be sent to it, as a front does before the first request."""
+        request = b"GET /-/ready HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n"
+        self.until(lambda: self.client(request).wait_answer().status == 200)
+
     def record_deadlines(self):
         """-> a list to which (deadline in s, time of arrival in us) of each attempt is added from now on."""
         deadlines = []
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -150,6 +150,7 @@
         try:
             harness.port = port
             harness.until(lambda: "listening" in (tmp_path / "log").read_text(), 20 * S)
+            harness.wait_ready()
             assert harness.ask("a0").wait_answer().status == 200
             harness.loop.run_until(lambda: False, 200 * MS)
             initial = len(os.listdir(f"/proc/{program.pid}/fd"))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -427,6 +427,7 @@
         try:
             assert "listening" in program.stderr.readline() + program.stderr.readline()
             harness.port = port
+            harness.wait_ready()
             assert harness.ask("a1").wait_answer().status == 200
             program.send_signal(signal.SIGHUP)
             assert harness.ask("a2").wait_answer().status == 200
--- a/tests/test_signals_at_start.py
+++ b/tests/test_signals_at_start.py
@@ -55,6 +55,7 @@
             harness.until(signal_until_listening, 20 * S)
             assert process.poll() is None, f"ended by {process.returncode}"
             harness.port = port
+            harness.wait_ready()
             assert harness.ask("a0").wait_answer().status == 200
             process.send_signal(signal.SIGTERM)
             harness.until(lambda: process.poll() is not None, 10 * S)
--- a/tests/trace.py
+++ b/tests/trace.py
@@ -26,7 +26,9 @@
 class Play:
     """One router and its trace; `at(ms, event...)` runs one round."""
 
-    def __init__(self, effect="replayable", scope="all", servers=("r0", "r1", "w2", "w3"), started_us=0, seed=7, **changes):
+    def __init__(
+        self, effect="replayable", scope="all", servers=("r0", "r1", "w2", "w3"), started_us=0, seed=7, listed=True, **changes
+    ):
         request_class = RequestClass("chat", effect, scope, 5000 * MS, 1000 * MS, 40 * MS, 60 * MS, 1.0, 0.3)
         settings = {
             "balancers": 2,
@@ -65,7 +67,8 @@
             },
         } | changes
         self.router, self.out, self.now = Router(seed, settings, 0), Recorder(), 0
-        self.at(0, ("servers", "restored", [self.server(s, started_us) for s in servers]))
+        if listed:
+            self.at(0, ("servers", "restored", [self.server(s, started_us) for s in servers]))
 
     @staticmethod
     def server(name, started_us=0, mode="ready", cell=0):
