A discovery that answers late is heard

Ruled out: more time for each call, as a silent one would cost more of the 6 s then. At fault: Discovery.on_deadline and failed, which closed what they gave up.

--- a/lapiswing/node/discovery.py
+++ b/lapiswing/node/discovery.py
@@ -1,4 +1,7 @@
-"""Watches the platform's discovery service. The last list stays in use while a new one can't be fetched or read."""
+"""Watches the platform's discovery service. The last list stays in use while a new one can't be fetched or read.
+
+A call that gets no answer in time is followed by the next one and stays open for a while: a discovery that is slow is still
+heard, and one that is silent is asked again as soon as if the call had been cancelled."""
 
 from zlib import crc32
 
@@ -25,6 +28,7 @@
 SUBSCRIBE_WATCH_GRACE_US = 700 * MS  # beyond a watch's wait; the rest of the 2 s is for the list that is requested next
 REJECTED_DELAY_US, MAX_REJECTED_DELAY_US = 250 * MS, 1000 * MS  # after a rejected call: doubled each time up to the maximum
 REJECTION_STATUSES = (429, 503)
+MAX_LATE_CALLS = 3  # without an answer in time that stay open; with the present call as many as the pool has connections
 MIN_PROGRESS_BYTES = 65536  # an answer that has brought this much when its time runs out is long, not stalled
 MAX_LIST_BYTES = 4 << 20
 MAX_ROWS = 16_384  # in one answer
@@ -135,7 +139,8 @@
 
 
 class Discovery:
-    """Keeps a ServerList up to date by long polling. At most one call is open at a time."""
+    """Keeps a ServerList up to date by long polling. One call is open at a time, besides up to MAX_LATE_CALLS earlier ones. An
+    answer is applied if no later call was answered before it."""
 
     def __init__(self, loop, pool, address, server_list, on_list_change, log, subscribe=False, seed=0):
         """`subscribe`: changes are only sent on request and each call is costly; `seed` spreads the calls of many gateways."""
@@ -147,7 +152,7 @@
         self.wait_ms, self.default_grace_us = (
             (SUBSCRIBE_WAIT_MS - spread_ms, SUBSCRIBE_LIST_GRACE_US) if subscribe else (WATCH_WAIT_MS, ANSWER_GRACE_US)
         )
-        self.call, self.unavailable, self.grace_us = None, False, self.default_grace_us
+        self.call, self.late_calls, self.unavailable, self.grace_us = None, [], False, self.default_grace_us
         # In subscribe mode a list that was given at the start is only brought up to date, as a call is costly.
         self.wants_full_list = not subscribe
         self.timer = loop.call_later(0, self.send_call)
@@ -160,24 +165,35 @@
         self.send_call()
 
     def stop(self):
-        """Cancels the open call and the timer."""
+        """Cancels all open calls and the timer."""
+        self.cancel_present_call()
+        self.cancel_late_calls(self.calls)
+
+    def cancel_present_call(self):
+        """Cancels the present call and the timer."""
         self.timer.cancel()
         if self.call is not None:
-            self.call.over = True
-            self.call.exchange.cancel()
+            self.call.cancel()
             self.call = None
 
+    def cancel_late_calls(self, before):
+        """Cancels the late calls that were sent before the call with this number."""
+        for call in [call for call in self.late_calls if call.number < before]:
+            call.cancel()
+            self.late_calls.remove(call)
+
     def send_call(self):
         """Asks for the whole list, or watches for changes after the last index."""
-        self.stop()
-        if self.wants_full_list or self.server_list.index is None:
+        self.cancel_present_call()
+        whole_list = self.wants_full_list or self.server_list.index is None
+        if whole_list:
             target, wait_us = TARGETS_PATH, 0
         else:
             target = b"%b?after=%d&wait_ms=%d" % (TARGETS_PATH, self.server_list.index, self.wait_ms)
             wait_us = self.wait_ms * MS
         grace_us = SUBSCRIBE_WATCH_GRACE_US if self.subscribe and wait_us else self.grace_us
+        self.call = call = Call(self, self.calls, whole_list)
         self.calls += 1
-        self.call = call = Call(self)
         self.timer = self.loop.call_later(wait_us + grace_us, self.on_deadline, call)
         call.exchange = self.pool.request(self.address, b"GET", target, [], b"", call)
 
@@ -186,14 +202,24 @@
         if call is self.call:
             # Still arriving at a good rate: the list is long for this machine.
             coming = call.size >= MIN_PROGRESS_BYTES and self.grace_us < MAX_ANSWER_GRACE_US
-            self.failed(call, "no answer in time")
+            self.call = None
+            self.late_calls.append(call)
+            if len(self.late_calls) > MAX_LATE_CALLS:
+                self.late_calls.pop(0).cancel()
+            self.retry("no answer in time")
             self.grace_us = 2 * self.grace_us if coming else self.default_grace_us
 
     def failed(self, call, why, rejected=False):
-        """Schedules the next call. `rejected`: discovery answered that it is overloaded."""
-        if call is not self.call:
-            return
-        self.stop()
+        """A call has failed. `rejected`: discovery answered that it is overloaded."""
+        if call in self.late_calls:
+            call.cancel()
+            self.late_calls.remove(call)
+        elif call is self.call:
+            self.retry(why, rejected)
+
+    def retry(self, why, rejected=False):
+        """Schedules the next call."""
+        self.cancel_present_call()
         pause_us = RETRY_DELAY_US
         if rejected and self.subscribe:
             pause_us = min(MAX_REJECTED_DELAY_US, REJECTED_DELAY_US << min(self.rejections, 8))
@@ -208,7 +234,8 @@
 
     def answered(self, call, status, body):
         """Applies a complete answer and sends the next call."""
-        if call is not self.call:
+        is_late = call in self.late_calls
+        if call is not self.call and not is_late:
             return
         if status in REJECTION_STATUSES:
             return self.failed(call, f"status {status}", rejected=True)
@@ -219,23 +246,34 @@
             self.server_list.apply(targets, self.loop.clock.now_us())
         except (ValueError, msgspec.MsgspecError) as problem:
             return self.failed(call, f"can't be read: {problem}")
-        self.grace_us, self.rejections = self.default_grace_us, 0
+        self.cancel_late_calls(call.number + 1)
+        if not is_late:
+            self.grace_us = self.default_grace_us
+        self.rejections = 0
         if self.unavailable:
             self.unavailable = False
-            self.log.info("discovery heard", boxes=len(self.server_list.rows))
+            self.log.info("discovery heard", boxes=len(self.server_list.rows), late=is_late)
         # An unreadable change may concern any server; the whole list either shows it or no longer names it.
         self.wants_full_list = bool(self.server_list.faults) and not targets.snapshot
         self.server_list.log_faults(self.log)
         if targets.snapshot or targets.endpoints:
             self.on_list_change()
-        self.send_call()
+        # Behind a late answer a watch brings what has changed since; a watch that is open already does.
+        if not is_late or self.call is None or self.call.whole_list:
+            self.send_call()
 
 
 class Call:
-    """Collects the answer to one call, up to MAX_LIST_BYTES."""
+    """Collects the answer to one call, up to MAX_LIST_BYTES. Calls are numbered in the order in which they were sent."""
+
+    def __init__(self, discovery, number, whole_list):
+        self.discovery, self.number, self.whole_list = discovery, number, whole_list
+        self.status, self.body, self.size, self.over = None, bytearray(), 0, False
 
-    def __init__(self, discovery):
-        self.discovery, self.status, self.body, self.size, self.over = discovery, None, bytearray(), 0, False
+    def cancel(self):
+        """Ends the call without an answer."""
+        self.over = True
+        self.exchange.cancel()
 
     def on_head(self, status, fields):
         self.status = status
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,6 +12,7 @@
 from lapiswing.node.discovery import (
     ANSWER_GRACE_US,
     MAX_ANSWER_GRACE_US,
+    MAX_LATE_CALLS,
     MAX_REJECTED_DELAY_US,
     RETRY_DELAY_US,
     SUBSCRIBE_WAIT_MS,
@@ -41,6 +42,8 @@
     def __init__(self, loop, script):
         self.loop, self.script, self.requests = loop, list(script), []
         self.index, self.mode, self.whole = 1, "SERVING", None
+        self.slow_us = 0  # how long each answer takes on its way
+        self.open_calls = set()
 
     def close_idle(self, address):
         pass
@@ -57,12 +60,15 @@
 
     def __init__(self, pool, target, handler):
         self.pool, self.target, self.handler, self.over = pool, target, handler, False
+        self.on_its_way = False
+        pool.open_calls.add(self)
 
     def later(self, after_us, call, *args):
         self.pool.loop.call_later(after_us, lambda: self.over or call(*args))
 
     def cancel(self):
         self.over = True
+        self.pool.open_calls.discard(self)
 
     def answer(self, index=None):
         pool = self.pool
@@ -89,13 +95,18 @@
         self.whole(self.answer())
 
     def whole(self, body, status=200):
+        if self.pool.slow_us and not self.on_its_way:
+            self.on_its_way = True
+            return self.later(self.pool.slow_us, self.whole, body, status)
         self.over = True
+        self.pool.open_calls.discard(self)
         self.handler.on_head(status, [])
         self.handler.on_body(body)
         self.handler.on_end()
 
     def fail(self, stage):
         self.over = True
+        self.pool.open_calls.discard(self)
         self.handler.on_fail(stage, "scripted")
 
     def trickle(self):
@@ -205,6 +216,71 @@
     assert ANSWER_GRACE_US * 4 == MAX_ANSWER_GRACE_US > 2 * S
 
 
+DUE_US = 6 * S  # by when the platform's page counts a change as told, whatever came of the calls
+
+
+@pytest.mark.parametrize("subscribe", [False, True], ids=["pushed", "asked"])
+@pytest.mark.parametrize("slow_ms", [800, 2200, 2800])
+@pytest.mark.parametrize("at_ms", [300, 4900])
+def test_a_change_is_heard_in_time_from_a_discovery_that_is_slow(subscribe, slow_ms, at_ms):
+    """Each answer takes longer than a call is waited for: every call was cancelled before its answer, and none was heard."""
+    scenario = Scenario(subscribe)
+    scenario.discovery.wait_ms = WATCH_WAIT_MS  # the first watch of a gateway that asks would last for most of the test
+    scenario.pool.slow_us = slow_ms * MS
+    scenario.discovery.send_call()
+    scenario.until(lambda: False, at_ms * MS)
+    assert scenario.change() <= DUE_US
+    assert len(scenario.pool.open_calls) <= 1 + MAX_LATE_CALLS
+    scenario.discovery.stop()
+    assert not scenario.pool.open_calls
+    scenario.loop.close()
+
+
+def test_one_watch_is_open_again_once_discovery_is_quick():
+    scenario = Scenario()
+    scenario.pool.slow_us = 2200 * MS
+    scenario.change()
+    scenario.pool.slow_us = 0
+    assert scenario.until(lambda: len(scenario.pool.open_calls) == 1 and not scenario.discovery.late_calls, 5 * S)
+    assert b"after=2" in scenario.pool.requests[-1][1]
+    scenario.discovery.stop()
+    scenario.loop.close()
+
+
+def test_a_late_answer_changes_nothing_behind_that_of_a_later_call():
+    scenario = Scenario()
+    scenario.pool.script = ["silent"]
+    scenario.discovery.send_call()
+    late = scenario.discovery.call
+    assert scenario.until(lambda: late in scenario.discovery.late_calls, 3 * S)
+    old = late.exchange.answer()
+    scenario.change()
+    late.on_head(200, [])
+    late.on_body(old)
+    late.on_end()
+    assert scenario.server_list.rows["s-1"].mode == "draining" and late not in scenario.discovery.late_calls
+    scenario.discovery.stop()
+    scenario.loop.close()
+
+
+def test_silent_calls_are_given_up_one_by_one():
+    """They occupy no more connections than the pool has, and end with the first answer or a change of the address."""
+    scenario = Scenario()
+    scenario.pool.script = ["silent"] * 12
+    scenario.discovery.send_call()
+    scenario.until(lambda: not scenario.pool.script, 20 * S)
+    assert len(scenario.pool.open_calls) == 1 + MAX_LATE_CALLS
+    scenario.change()
+    assert len(scenario.pool.open_calls) == 1 and not scenario.discovery.late_calls
+    scenario.pool.script = ["silent"] * 12
+    scenario.discovery.send_call()
+    scenario.until(lambda: len(scenario.pool.open_calls) == 1 + MAX_LATE_CALLS, 20 * S)
+    scenario.discovery.change_address(("127.0.0.1", 2))
+    assert len(scenario.pool.open_calls) == 1
+    scenario.discovery.stop()
+    scenario.loop.close()
+
+
 def test_after_a_failed_call_the_whole_list_is_requested():
     """A restarted discovery may count from the beginning again: a watch after a later index would wait for good."""
     scenario = Scenario()
@@ -268,6 +344,7 @@
 
     def __init__(self, loop):
         self.loop, self.index, self.mode, self.free_us, self.waiting, self.rejected = loop, 1, "SERVING", 0, [], 0
+        self.slow_us, self.open_calls = 0, set()
 
     def close_idle(self, address):
         pass
