A machine whose file table is full for a moment costs no request

Its gateway's accept had failed with ENFILE once. At fault: Listener.on_accept_error, which treated the machine's full table like the process's own limit and refused a connection whose request was on its way.

--- a/lapiswing/loop/net.py
+++ b/lapiswing/loop/net.py
@@ -117,7 +117,12 @@
     def on_accept_error(self, problem, closing):
         """-> whether to continue."""
         cause = accept_error_cause(problem.errno)
-        if cause is Cause.PEER or cause is Cause.NO_DESCRIPTORS and self.accept_and_close():
+        if cause is Cause.PEER:
+            return True
+        # A full table of the whole machine passes: the connection waits in the kernel's queue, as its request may still be on
+        # its way. The process's own limit stays until room is made, and a port that closes resets what waits.
+        must_refuse = cause is Cause.NO_DESCRIPTORS and (closing or problem.errno != errno.ENFILE)
+        if must_refuse and self.accept_and_close():
             return True
         if closing:
             return cause is not Cause.INTERNAL_ERROR
--- a/tests/test_errno.py
+++ b/tests/test_errno.py
@@ -91,11 +91,24 @@
             client.close()
 
 
-def test_an_accept_that_keeps_failing_does_not_spin():
+def test_a_machine_without_descriptors_for_a_moment_costs_no_request(tmp_path):
+    """One ENFILE at accept closed the connection unread, though its request was still on its way."""
+    with PlatformHarness(tmp_path, ("both", "both")) as harness:
+        listener = harness.node.listener
+        listener.sock = Failing(listener.sock, accept=[errno.ENFILE])
+        client = harness.client()
+        harness.until(lambda: not listener.sock.errors["accept"])
+        client.send(head("a1") + BODY)
+        assert client.wait_answer().status == 200 and not listener.refused
+        harness.wait_settled()
+
+
+@pytest.mark.parametrize("name", ["ENOBUFS", "ENFILE"])
+def test_an_accept_that_keeps_failing_does_not_spin(name):
     loop = Loop(Clock())
     listener, seen = listening(loop)
     client = socket.create_connection(listener.address)
-    real, listener.sock = listener.sock, Failing(listener.sock, accept=[errno.ENOBUFS] * 10_000)
+    real, listener.sock = listener.sock, Failing(listener.sock, accept=[getattr(errno, name)] * 10_000)
     loop.run_until(lambda: False, 350 * MS)
     assert loop.turns < 60
     listener.sock = real
