Soak: a configuration written for SIGHUP reports no drain at once

Traced with a play in which the reload comes 0.6 s after a restart (drain at the list 13.65 s, silent agents): the first report of the drain to that gateway is the moment at which the soak writes the new configuration, the second its agent's first answer, 2.0 s later; the attempt lies between. A process reads that list at its start only, and the page counts what a new agent has 4 s after SIGHUP.

--- a/lapiswing/lab/soak/day.py
+++ b/lapiswing/lab/soak/day.py
@@ -10,7 +10,7 @@
 
 from lapiswing.lab.soak.clients import Clients
 from lapiswing.lab.soak.platform import Agent, SoakPlatform
-from lapiswing.lab.soak.process import GatewayProcess
+from lapiswing.lab.soak.process import RELOAD_COUNTS_AFTER_US, GatewayProcess
 from lapiswing.lab.soak.records import Day
 from lapiswing.lab.soak.troubles import draw
 from lapiswing.loop import Clock, Loop
@@ -177,7 +177,7 @@
         complete = trouble.variant >= 0.3
         gateway.reload(complete)
         if not complete:
-            self.loop.call_later(150 * MS, gateway.write_config)
+            self.loop.call_later(150 * MS, gateway.write_config, True, RELOAD_COUNTS_AFTER_US)
         if trouble.variant > 0.7:
             self.loop.call_later(30 * MS, gateway.reload)
         self.loop.call_later(4 * S, self.close_agent, old)
--- a/lapiswing/lab/soak/platform.py
+++ b/lapiswing/lab/soak/platform.py
@@ -170,23 +170,24 @@
         super().__init__(platform)
         self.gateway = gateway
 
-    def whole(self):
+    def whole(self, counts_after_us=0):
+        """-> the whole list, whose rows count as reported to the gateway `counts_after_us` from now."""
         answer = super().whole()
-        self.record_unavailable(answer["endpoints"])
+        self.record_unavailable(answer["endpoints"], counts_after_us)
         gone = self.platform.day.unavailable_us.keys() - self.platform.servers.keys()
-        self.record_unavailable([{"name": name, "status": "DELETED"} for name in gone])
+        self.record_unavailable([{"name": name, "status": "DELETED"} for name in gone], counts_after_us)
         return answer
 
     def answer(self, exchange, after):
         self.record_unavailable([row for index, row in self.log if index > after])
         super().answer(exchange, after)
 
-    def record_unavailable(self, rows):
+    def record_unavailable(self, rows, counts_after_us=0):
         """Records the rows among `rows` that mark a server as draining or deleted."""
-        now = self.platform.loop.clock.now_us()
+        at_us = self.platform.loop.clock.now_us() + counts_after_us
         for row in rows:
             if row["status"] != "SERVING":
-                self.platform.day.unavailable_reports.append(UnavailableReport(self.gateway, row["name"], now))
+                self.platform.day.unavailable_reports.append(UnavailableReport(self.gateway, row["name"], at_us))
 
     def publish_row(self, index, row):
         """Adds a changed row and answers the open watches."""
--- a/lapiswing/lab/soak/process.py
+++ b/lapiswing/lab/soak/process.py
@@ -16,6 +16,7 @@
 TERM_TO_KILL_US = 3700 * MS  # the platform sends SIGKILL this long after SIGTERM
 READY_POLL_US = 20 * MS
 SOCKET_LIMIT = 256
+RELOAD_COUNTS_AFTER_US = 4 * S  # from SIGHUP until what the new agent has counts as reported, by the platform's page
 
 
 class GatewayProcess:
@@ -33,15 +34,16 @@
         self.config_file = self.folder / f"n{number}.json"
         self.shim_file = self.folder / f"n{number}.shim"
 
-    def write_config(self, complete=True):
-        """Writes the configuration; with `complete=False` only its first third."""
+    def write_config(self, complete=True, counts_after_us=0):
+        """Writes the configuration; with `complete=False` only its first third. Its list of servers counts as reported to the
+        gateway `counts_after_us` from now."""
         text = fleet_settings.configuration(
             self.number,
             self.gateway_count,
             self.address[1],
             self.agent.address,
             self.seed + self.start_count,
-            self.agent.whole(),
+            self.agent.whole(counts_after_us),
             self.second_copies,
             self.subscribed,
             SOCKET_LIMIT,
@@ -137,7 +139,7 @@
 
     def reload(self, complete=True):
         """Writes the configuration and sends SIGHUP, never to the shell that starts the gateway: SIGHUP might end it."""
-        self.write_config(complete)
+        self.write_config(complete, RELOAD_COUNTS_AFTER_US)
         if self.alive() and self.program_started():
             self.signal_process(signal.SIGHUP)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,13 +1,17 @@
 """The soak: its schedule of troubles, its oracle, and one short day with real processes."""
 
 from itertools import pairwise
+from random import Random
 
 import pytest
 
 from lapiswing.lab.soak.day import DayRunner
 from lapiswing.lab.soak.oracle import judge
+from lapiswing.lab.soak.platform import SoakPlatform
+from lapiswing.lab.soak.process import RELOAD_COUNTS_AFTER_US, GatewayProcess
 from lapiswing.lab.soak.records import Attempt, Call, Day, Process, State, UnavailableReport
 from lapiswing.lab.soak.troubles import Kind, draw
+from lapiswing.loop import Loop, ManualClock
 
 MS, S = 1000, 1_000_000
 SENT = 100 * S
@@ -212,6 +216,27 @@
     assert [violation.rule for violation in judge(day)] == ["fault"]
 
 
+@pytest.mark.parametrize("how, after_us", [("start", 0), ("reload", RELOAD_COUNTS_AFTER_US), ("call", 0)])
+def test_when_a_drain_counts_as_reported(tmp_path, how, after_us):
+    """A process reads the list in its configuration at its start only, so one that is written for SIGHUP informs nobody."""
+    day, loop = Day(1), Loop(ManualClock())
+    platform = SoakPlatform(loop, ["both"], 1, day, Random(1))
+    (server,), (agent,) = platform.servers.values(), platform.agents
+    server.status = "DRAINING"
+    gateway = GatewayProcess(loop, day, 0, 1, 9, agent, tmp_path, 1)
+    if how == "start":
+        gateway.write_config()
+    elif how == "reload":
+        gateway.reload()
+    else:
+        agent.whole()
+    (report,) = day.unavailable_reports
+    assert (report.gateway, report.server, report.at_us) == (0, server.name, loop.clock.now_us() + after_us)
+    gateway.close()
+    platform.close()
+    loop.close()
+
+
 def test_a_short_day_with_real_processes(tmp_path):
     """Checks that the harness runs and that the invariants hold in one short day with troubles."""
     day = DayRunner(5, 6.5, 3, str(tmp_path)).play()
