Pipelined requests that can't be kept are refused one by one

Ruled out: leaving the rest in the kernel's queue, as the client's leaving would not show. At fault: Connection.receive, which cleared the buffer, whole requests in it too.

--- a/lapiswing/http1/input_account.py
+++ b/lapiswing/http1/input_account.py
@@ -24,6 +24,16 @@
             self.size -= self.parts.popleft()[0]
         return self.parts[0][1]
 
+    def drop_last(self, size):
+        """Forgets the last `size` bytes."""
+        self.size -= size
+        while size and self.parts:
+            part = min(size, self.parts[-1][0])
+            self.parts[-1][0] -= part
+            size -= part
+            if not self.parts[-1][0]:
+                self.parts.pop()
+
     def clear(self):
         self.parts.clear()
         self.size = 0
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -4,6 +4,7 @@
 from lapiswing.http1.exchange import Exchange
 from lapiswing.http1.input_account import Arrivals, InputAccount
 from lapiswing.http1.limits import DEFAULT_LIMITS
+from lapiswing.http1.refused_requests import RefusedRequests
 from lapiswing.http1.wire import REQUEST_LINE, ProtocolError, check_framing, get, response_head, split_head
 
 MAX_ROOM_CANDIDATES = 64  # connections examined in one search for room
@@ -11,11 +12,12 @@
 FIELD_OVERHEAD_BYTES = 144  # kept for a header field, on top of its bytes
 MAX_EMPTY_LINES = 16  # before a request
 MIN_PIPELINED_BYTES = 4096  # each connection may buffer this much behind an open request, whatever the others do
+MAX_DISCARDED_BYTES = 4 << 20  # read behind an open request and not kept; a client that sends more is disconnected
 
 
 class Connection:
     """Owner of one client's stream. Requests are answered in order. While one is being answered, later input is buffered
-    unparsed up to a limit; beyond it the input is discarded and the connection ends with the current answer."""
+    unparsed up to a limit; the requests beyond it are discarded and refused, each in its turn."""
 
     def __init__(self, server, stream, peer):
         self.server, self.stream, self.peer = server, stream, peer
@@ -31,6 +33,7 @@
         self.refused_early = False  # whether a request was refused before it was complete
         self.closing_at_once = False  # whether its descriptor is needed immediately
         self.discarded_bytes = 0  # read behind the current request and not kept
+        self.refused_requests = None  # what is known of the requests in them
         self.phase = "idle"  # idle, head, body, answer: determines which time-out applies
         self.unfinished_bytes = self.pipelined_bytes = 0  # what the server's account holds of this connection
         stream.owner = self
@@ -44,6 +47,10 @@
 
     def receive(self, data):
         """Takes input: parses it, keeps it for later or discards it."""
+        if self.refused_requests is not None:
+            self.refused_requests.take(data)
+            self.count_discarded(len(data))
+            return self.refuse_discarded()
         if not self.buffer:
             self.arrivals.clear()
         self.buffer += data
@@ -53,16 +60,42 @@
             return
         if self.current is None:
             return self.parse()
-        if len(self.buffer) > limits.pipelined_bytes or len(self.buffer) > MIN_PIPELINED_BYTES and self.server.pipelining_full():
-            # Keeps reading, to notice when the client leaves, but discards the input to bound memory. A client that sends
-            # far ahead has to repeat the requests behind this one.
-            self.discarded_bytes += len(self.buffer)
-            self.buffer.clear()
-            self.arrivals.clear()
-            self.current.keep_alive = False
-            # More than any single request may be, on top of what could have been buffered.
-            if self.discarded_bytes > limits.pipelined_bytes + limits.head_bytes + limits.body_bytes:
-                self.stream.abort()
+        max_bytes = MIN_PIPELINED_BYTES if self.server.pipelining_full() else limits.pipelined_bytes
+        if len(self.buffer) > max_bytes:
+            self.discard_excess(max_bytes)
+
+    def discard_excess(self, max_bytes):
+        """Keeps the complete requests that fit into `max_bytes` of the buffer. Of what is behind them only the number of
+        requests is kept from now on; reading goes on, to notice when the client leaves."""
+        self.refused_requests = RefusedRequests(self.server.limits)
+        kept_bytes = self.refused_requests.take_front(self.buffer, max_bytes)
+        discarded = len(self.buffer) - kept_bytes
+        del self.buffer[kept_bytes:]
+        self.arrivals.drop_last(discarded)
+        self.count_discarded(discarded)
+
+    def count_discarded(self, size):
+        """Counts input that is not kept. Disconnects a client that never stops sending."""
+        self.discarded_bytes += size
+        if self.discarded_bytes > MAX_DISCARDED_BYTES:
+            self.stream.abort()
+
+    def refuse_discarded(self):
+        """Refuses the requests that were not kept, once all before them are answered."""
+        refused = self.refused_requests
+        if refused is None or self.current is not None or self.buffer:
+            return
+        self.stream.write(self.server.refusal() * refused.count)
+        self.server.refused += refused.count
+        refused.count = 0
+        if refused.problem is not None:
+            return self.refuse(refused.problem.status, str(refused.problem))
+        if refused.is_partial:
+            return self.enter_phase("body")
+        self.refused_requests, self.discarded_bytes = None, 0
+        self.enter_phase("idle")
+        if self.is_last_answer():
+            self.close()
 
     def parse(self):
         """Parses at most one request from the buffered input. What is behind it waits for its turn among all connections, as
@@ -101,6 +134,7 @@
         if not self.stream.closed:
             kept = len(self.buffer) + len(self.body if self.decoder is None else self.decoder.body)
             kept += self.incoming.head_bytes if self.incoming is not None else 0
+            kept += len(self.refused_requests.rest) if self.refused_requests is not None else 0
         unfinished, pipelined = (kept, 0) if self.current is None else (0, kept)
         account = self.server.account
         account.unfinished_bytes += unfinished - self.unfinished_bytes
@@ -208,6 +242,7 @@
             return self.close()
         self.enter_phase("idle")
         self.parse_rest()
+        self.refuse_discarded()
         self.update_account()
 
     def is_last_answer(self):
@@ -215,8 +250,8 @@
         return self.server.closing and not self.has_more_input()
 
     def has_more_input(self):
-        """Whether unparsed or unread input is there."""
-        return bool(self.buffer) or self.stream.pending()
+        """Whether unparsed or unread input is there, or requests that have to be refused."""
+        return bool(self.buffer) or self.refused_requests is not None or self.stream.pending()
 
     def close(self):
         """Closes the connection after its last answer."""
@@ -231,6 +266,7 @@
         """Answers an invalid or late request with an error and closes."""
         self.buffer.clear()
         self.refused_early = True
+        self.refused_requests = None
         exchange = self.incoming or Exchange(self, b"GET", b"*", [], b"1.1")
         self.incoming, self.decoder, self.body = None, None, bytearray()
         exchange.keep_alive = False
@@ -308,6 +344,7 @@
         self.connections, self.listener, self.closing = set(), None, False
         self.requests = self.refused = 0
         self.account = InputAccount()
+        self.refusal_fields = ()  # of the answers to requests that were read and not kept, such as a retry time
         self.at_limit, self.on_limit = False, None  # `on_limit(bool)`: incomplete requests begin or cease to be refused
         self.sweep_timer = loop.call_later(1_000_000, self.sweep)
 
@@ -368,6 +405,10 @@
                 conn.reclaim()
                 closed += 1
 
+    def refusal(self):
+        """-> the bytes of the answer to a request that was read and not kept."""
+        return response_head(503, [(b"content-length", b"0"), *self.refusal_fields])
+
     def pipelining_full(self):
         """Whether all connections together buffer more behind their open requests than allowed."""
         return self.account.pipelined_bytes > self.limits.all_pipelined_bytes
--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -153,6 +153,11 @@
         )
 
 
+def retry_after_fields(retry_after_us):
+    """-> the header fields that tell a client when it may come again."""
+    return [(RETRY_AFTER, b"%.3f" % (retry_after_us / 1e6))] if retry_after_us else []
+
+
 class ResponseWriter(Listener):
     """Writes the outcome of one request to its client."""
 
@@ -172,8 +177,7 @@
         self.exchange.respond(status, body)
 
     def on_rejected(self, retry_after_us):
-        more = [(RETRY_AFTER, b"%.3f" % (retry_after_us / 1e6))] if retry_after_us else []
-        self.exchange.respond(503, b"", b"text/plain", more=more)
+        self.exchange.respond(503, b"", b"text/plain", more=retry_after_fields(retry_after_us))
 
     def on_failed(self, why):
         if self.exchange.begun:
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -21,7 +21,7 @@
 from lapiswing.node import config as configs
 from lapiswing.node import view
 from lapiswing.node.discovery import LIST_DECODER, Discovery, ServerList
-from lapiswing.node.front import Front
+from lapiswing.node.front import Front, retry_after_fields
 from lapiswing.node.release_targets import ReleaseTargets
 from lapiswing.node.servers import MAX_BODY_BYTES, Servers
 from lapiswing.policy import Router
@@ -195,6 +195,7 @@
             ),
         )
         self.server.on_limit = self.log_input_limit
+        self.server.refusal_fields = retry_after_fields(limits.get("max_retry_after_us"))
         self.listener = self.discovery = self.reload_timer = self.fault = None
         self.logged_port_wait = False
         self.stopping, self.stopped_us = False, 0
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -1,6 +1,7 @@
 """Test harness for the platform adapter: a gateway and stand-ins for the platform on one loop, and raw HTTP clients."""
 
 import json
+import re
 import socket
 
 from lapiswing.loop import Clock, Loop, free_ports
@@ -194,6 +195,10 @@
         self.receive()
         return int(self.got[9:12]) if len(self.got) > 12 else None
 
+    def statuses(self):
+        """-> the statuses of all answers that have begun."""
+        return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d{3})", self.receive())]
+
     def ended(self):
         """Whether a complete answer has been received or the connection has ended."""
         got = self.receive()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,5 +1,6 @@
 """Once a client has closed its connection, no further attempt is made for its request, whatever stage it is in."""
 
+import json
 import socket
 import struct
 
@@ -27,9 +28,9 @@
     client.close()
 
 
-def flood(client):
+def flood(client, data=PIPELINED * (300 * 1024 // len(PIPELINED))):
     """Sends more than is buffered behind an open request, but less than what gets the connection closed."""
-    unsent = memoryview(PIPELINED * (300 * 1024 // len(PIPELINED)))
+    unsent = memoryview(data)
     while unsent:
         try:
             unsent = unsent[client.sock.send(unsent) :]
@@ -203,8 +204,8 @@
 
 
 def test_input_behind_an_open_request_is_bounded(tmp_path):
-    """If reading simply stopped at the limit, the client's leaving would go unnoticed. Buffered requests are answered in order; a
-    client that sends on beyond all limits is disconnected."""
+    """If reading simply stopped at the limit, the client's leaving would go unnoticed. Each request gets one answer, in order: what
+    was not kept is refused. A client that sends on beyond all limits is disconnected."""
     with PlatformHarness(tmp_path, ("both",)) as harness:
         harness.platform.servers["s-1"].pause_us = 100 * MS
         client = harness.ask("a1")
@@ -218,11 +219,15 @@
         before = len(attempts(harness))
         client = harness.ask("b1")
         harness.until(lambda: client.status)
-        flood(client)
-        client.wait_answer()
-        assert client.status == 200 and client.got.endswith(b"0\r\n\r\n")  # the answer is complete, then the connection ends
-        harness.until(lambda: client.receive() and client.closed)
-        assert client.got.count(b"HTTP/1.1 ") == 1 and len(attempts(harness)) == before + 1
+        count, body = 40, json.dumps({"messages": [{"role": "user", "content": "x" * 16_000}]}).encode()
+        flood(client, b"".join(head(f"c{i}", body, Req_Deadline="30.000") + body for i in range(count)))
+        harness.until(lambda: len(client.statuses()) == 1 + count, 30_000 * MS)
+        served = client.statuses().count(200)
+        assert client.statuses() == [200] * served + [503] * (1 + count - served) and 16 <= served <= 18
+        assert len(attempts(harness)) == before + served and not client.closed
+        client.send(head("d1") + BODY)  # as after any answer
+        harness.until(lambda: len(client.statuses()) == 2 + count)
+        assert client.statuses()[-1] == 200
         client = harness.ask("a2")
         harness.until(lambda: client.status)
         (conn,) = harness.node.server.connections
