--- a/lapiswing/http1/chunked.py
+++ b/lapiswing/http1/chunked.py
@@ -11,23 +11,28 @@
 SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:[ \t]*;[^\x00-\x08\x0a-\x1f\x7f]*)?")
 INCOMPLETE_SIZE_LINE = re.compile(rb"(?:[0-9A-Fa-f]{1,16}(?:[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?)?\r?)?")
 MAX_LINE_BYTES = 4096  # of a chunk's size with its extensions, and of a trailer field
+MAX_STEPS_PER_CALL = 3000  # of one call of `decode`: with one-byte chunks some 1,000 chunks, which take a few milliseconds
 MAX_FRAMING_BYTES = 131072  # size lines, line ends and trailers, on top of as many bytes as the body has
 
 
 class ChunkedDecoder:
-    """Decodes one body. `body` holds what has been decoded so far, `complete` tells whether the body has ended."""
+    """Decodes one body. `body` holds what has been decoded so far, `complete` tells whether the body has ended, and
+    `out_of_steps` whether the last call left input that it could have decoded."""
 
     def __init__(self, max_body_bytes):
         self.max_body_bytes, self.body = max_body_bytes, bytearray()
         self.chunk_left = 0  # bytes of the current chunk's data still to come
-        self.framing_bytes, self.complete, self.steps = 0, False, 0
+        self.framing_bytes, self.complete, self.steps, self.out_of_steps = 0, False, 0, False
         self.state = ChunkedDecoder.read_size  # not a bound method, which would make a reference cycle
 
     def decode(self, buffer):
-        """Decodes from the front of `buffer`, a bytearray, and deletes what it has decoded. Bytes behind the end of the body
-        stay. -> whether the body is complete. Raises ProtocolError."""
-        position = 0
+        """Decodes from the front of `buffer`, a bytearray, for a bounded number of steps, and deletes what it has decoded. Bytes
+        behind the end of the body stay. -> whether the body is complete. Raises ProtocolError."""
+        position, last_step, self.out_of_steps = 0, self.steps + MAX_STEPS_PER_CALL, False
         while not self.complete:
+            if self.steps == last_step:
+                self.out_of_steps = True
+                break
             after = self.state(self, buffer, position)
             self.steps += 1
             if after is None:
--- a/lapiswing/http1/refused_requests.py
+++ b/lapiswing/http1/refused_requests.py
@@ -13,6 +13,7 @@
 HEAD_END = b"\r\n\r\n"
 MAX_KEPT_REQUESTS = 1024  # found at the front of what has come, which bounds the time of one search
 MAX_REFUSED_REQUESTS = 256  # of one connection, which bounds their answers
+MAX_CHUNK_STEPS = 6000  # spent on chunked bodies that are dropped
 
 
 class RefusedRequests:
@@ -24,6 +25,7 @@
         self.count, self.problem = 0, None
         self.rest = bytearray()  # of a head or chunk that is not complete
         self.body_left, self.decoder = 0, None
+        self.chunk_steps = 0  # spent on chunked bodies
 
     @property
     def is_partial(self):
@@ -89,7 +91,7 @@
     def read_body(self):
         """-> whether the body has ended; drops what has come of it. Raises ProtocolError."""
         if self.decoder is not None:
-            if not self.decoder.decode(self.rest):
+            if not self.decode_chunks():
                 return False
             self.decoder = None
         else:
@@ -97,3 +99,12 @@
             del self.rest[:part]
             self.body_left -= part
         return not self.body_left
+
+    def decode_chunks(self):
+        """-> whether a chunked body has ended. Raises ProtocolError, also if the chunks cost too much for what is dropped."""
+        before = self.decoder.steps
+        complete = self.decoder.decode(self.rest)
+        self.chunk_steps += self.decoder.steps - before
+        if self.decoder.out_of_steps or self.chunk_steps > MAX_CHUNK_STEPS:
+            raise ProtocolError("too many small chunks", 503)
+        return complete
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -112,10 +112,14 @@
     def parse_rest(self):
         """Has the buffered input parsed later if no request is being answered."""
         if self.current is None and self.buffer and not self.parsing_later:
-            self.parsing_later = True
-            self.stream.pause()  # so that input that waits for its turn does not grow
             self.enter_phase("head")
-            self.server.loop.put_off_call(self.stream, self.parse_later)
+            self.continue_later()
+
+    def continue_later(self):
+        """Has the buffered input parsed when its turn among all connections comes."""
+        self.parsing_later = True
+        self.stream.pause()  # so that input that waits for its turn does not grow
+        self.server.loop.put_off_call(self.stream, self.parse_later)
 
     def parse_later(self):
         """Parses from the loop."""
@@ -195,6 +199,8 @@
         """-> whether the body is complete. Raises ProtocolError."""
         if self.decoder is not None:
             if not self.decoder.decode(self.buffer):
+                if self.decoder.out_of_steps:
+                    self.continue_later()
                 return False
             self.body, self.decoder = self.decoder.body, None
         else:
--- a/tests/test_chunked.py
+++ b/tests/test_chunked.py
@@ -1,11 +1,13 @@
 """The chunked transfer coding of requests: valid and invalid forms, and the work that a body can cause."""
 
 import gc
+import json
 import weakref
 
 import pytest
+from platform_harness import PlatformHarness, head
 
-from lapiswing.http1.chunked import MAX_FRAMING_BYTES, MAX_LINE_BYTES, ChunkedDecoder
+from lapiswing.http1.chunked import MAX_FRAMING_BYTES, MAX_LINE_BYTES, MAX_STEPS_PER_CALL, ChunkedDecoder
 from lapiswing.http1.wire import ProtocolError
 
 BODY_BYTES = 262144
@@ -49,6 +51,8 @@
         buffer += data[start : start + (piece or len(data))]
         if not decoder.complete:
             decoder.decode(buffer)
+        while decoder.out_of_steps:  # as a connection goes on in a later turn
+            decoder.decode(buffer)
     assert decoder.complete
     return bytes(decoder.body), bytes(buffer)
 
@@ -101,3 +105,33 @@
     assert decoder.decode(bytearray(b"%x\r\n" % BODY_BYTES + data + b"\r\n0\r\n\r\n"))
     assert bytes(decoder.body) == data
     assert decoder.steps < 10
+
+
+def test_one_call_takes_a_bounded_number_of_steps():
+    """Guards against a step of 80 to 123 ms for a body of one-byte chunks that has come as a whole."""
+    count = 20_000
+    decoder, buffer = ChunkedDecoder(BODY_BYTES), bytearray(b"1\r\nx\r\n" * count + b"0\r\n\r\n" + b"next")
+    calls = 0
+    while not decoder.complete:
+        before, calls = decoder.steps, calls + 1
+        assert decoder.decode(buffer) or decoder.out_of_steps
+        assert decoder.steps - before <= MAX_STEPS_PER_CALL
+    assert decoder.body == b"x" * count and buffer == b"next" and calls > count * 3 // MAX_STEPS_PER_CALL
+    assert not decoder.out_of_steps
+
+
+def test_a_body_of_one_byte_chunks_is_served_beside_others(tmp_path):
+    """Its decoding takes turns with other connections."""
+    body = json.dumps({"messages": [], "pad": "x" * 18_000}).encode()
+    chunks = b"".join(b"1\r\n%b\r\n" % body[i : i + 1] for i in range(len(body))) + b"0\r\n\r\n"
+    with PlatformHarness(tmp_path, ("both",)) as harness:
+        costly = [harness.client() for _ in range(3)]
+        for number, client in enumerate(costly):
+            client.send(head(f"a{number}", body, Content_Length=None, Transfer_Encoding="chunked") + chunks)
+        usual = harness.ask("b1").wait_answer()
+        assert usual.status == 200
+        for client in costly:
+            assert client.wait_answer().status == 200
+        bodies = [row[3] for row in harness.platform.servers["s-1"].seen if row[2].startswith("a")]
+        assert bodies == [body] * 3
+        harness.wait_settled()
--- a/tests/test_refused_requests.py
+++ b/tests/test_refused_requests.py
@@ -61,6 +61,7 @@
         (b"POST / HTTP/1.1\r\nContent-Length: 300000\r\n\r\n", 413),
         (b"GET / HTTP/1.1\r\nA: " + b"x" * 20_000, 431),
         (BODILESS * (MAX_REFUSED_REQUESTS + 1), 503),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 5000, 503),
     ],
 )
 def test_malformed_or_endless_input_ends_the_count(data, status):
