Attempts of a request are a class in the decisions, no longer lists

A newcomer had to know which of six positions means what. The read of an attempt is taken off its server's load in one place (it stood twice).

--- a/lapiswing/node/view.py
+++ b/lapiswing/node/view.py
@@ -7,8 +7,8 @@
     believed, out = {}, {}
     for req in core.router.reqs.values():
         for attempt in req.attempts:
-            if attempt[3]:
-                believed[attempt[0].id] = believed.get(attempt[0].id, 0) + 1
+            if attempt.is_open:
+                believed[attempt.server.id] = believed.get(attempt.server.id, 0) + 1
     for req in core.reqs.values():
         for attempt in req.attempts.values():
             out[attempt.server] = out.get(attempt.server, 0) + 1
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -16,7 +16,7 @@
 from lapiswing.routing import learned_state
 from lapiswing.routing.pair_table import BIN_EDGES_US, BIN_MIDDLES_US, PairTable
 from lapiswing.routing.randomness import SeededRandom, rendezvous_rank
-from lapiswing.routing.state import Demand, Load, RequestState, RouterState, ServerState
+from lapiswing.routing.state import Attempt, Demand, Load, RequestState, RouterState, ServerState
 
 MS = 1000
 REFRESH_US = 250 * MS  # interval at which scores are recomputed and shares move, while requests are open or outcomes are new
@@ -290,7 +290,7 @@
                 # The limit is higher for few open attempts: a single one may just be slow.
                 silent = silence_us > max(600 * MS, 5 * usual_us + queue_us) * (1 + 2 / len(server.waiting) ** 2)
                 overtaken = sent_us < server.newest_answered_us and waited_us >= max(400 * MS, 4 * usual_us)
-                _, stage, _, _, _, tokens_ahead = req.attempts[number]
+                attempt = req.attempts[number]
                 # Late: far beyond the time that it should take alone, so it is queued behind other work or its answer was lost.
                 # Drawback: where cancelling stops nothing the work is done twice. The typical time keeps general congestion
                 # from moving all attempts, and without enough own reads to recognise congestion no attempt is moved: the
@@ -298,7 +298,12 @@
                 replayable, holder = self.request_classes[req.class_index].effect == "replayable", req.holder
                 late = (
                     enough_reads
-                    and (stage == "read" or stage == "write" and replayable and server.memory_used < MEMORY_FULL_FRACTION)
+                    and (
+                        attempt.stage == "read"
+                        or attempt.stage == "write"
+                        and replayable
+                        and server.memory_used < MEMORY_FULL_FRACTION
+                    )
                     and (
                         max(0.25 * (req.due_us - req.arrived_us), 3 * usual_us)
                         < waited_us
@@ -307,12 +312,14 @@
                 )
                 if late:
                     move_us = (
-                        self.move_us_per_token(holder, 1 + (holder.zone != server.zone)) if stage == "write" and holder else 0
+                        self.move_us_per_token(holder, 1 + (holder.zone != server.zone))
+                        if attempt.stage == "write" and holder
+                        else 0
                     )
-                    late = waited_us > 3 * (tokens_ahead * self.read_us_per_token(server) + req.tokens * move_us)
+                    late = waited_us > 3 * (attempt.tokens_ahead * self.read_us_per_token(server) + req.tokens * move_us)
                 if silent and not server.ejected:
                     self.record_failure(server, 0.6, f"silent for {silence_us // MS} ms, usual {usual_us / MS:.0f}")
-                harmless = stage == "read" or (overtaken or late) and replayable
+                harmless = attempt.stage == "read" or (overtaken or late) and replayable
                 if (
                     (silent or overtaken or late)
                     and harmless
@@ -562,7 +569,7 @@
         if cold:  # no more than an equal share of all requests, even where it is near to some readers
             limit = 1 / len(self.writers) / np.maximum(self.table.writer_shares(), 1e-9)
             cold_shares = shares / (shares.sum() or 1.0) * np.minimum(1.0, limit)
-            draw = 1.0 if any(stage == "write" for _, stage, *_ in req.attempts) else self.random()
+            draw = 1.0 if any(attempt.stage == "write" for attempt in req.attempts) else self.random()
             admitted = self.admit_to_cold(draw, cold, [cold_shares[column[w.id]] for w in cold], not usable)
             if admitted or not usable:
                 return admitted
@@ -618,7 +625,7 @@
     def send(self, req, server, stage):
         """Sends one attempt and adds it to the request's attempts and to the server's load."""
         number, tokens_ahead = len(req.attempts), server.tokens_in_flight + req.uncached_tokens if stage != "write" else 0
-        req.attempts.append([server, stage, self.now, True, req.uncached_tokens, tokens_ahead])
+        req.attempts.append(Attempt(server, stage, self.now, req.uncached_tokens, tokens_ahead))
         req.open_attempts += 1
         timeout_us, connect_us = self.answer_time_left(req, stage), self.connect_time_left(req)
         if stage != "read":
@@ -649,7 +656,7 @@
         Drawback: one more message, and a second prefill where the attempt arrives just after the release."""
         rid, number = self.release_checks.pop(token, (None, None))
         req = self.reqs.get(rid)
-        if req is not None and req.begun_attempt is None and req.attempts[number][3]:
+        if req is not None and req.begun_attempt is None and req.attempts[number].is_open:
             req.released_beside_attempt = True
             self.out.release_unclaimed(rid)
 
@@ -666,9 +673,10 @@
         req = self.reqs.get(rid)
         if req is None or number >= len(req.attempts):
             return
-        server, stage, sent_us, _, uncached_tokens, tokens_ahead = req.attempts[number]
+        attempt = req.attempts[number]
+        server, stage = attempt.server, attempt.stage
         server.waiting.pop((rid, number), None)
-        server.last_response_us, server.newest_answered_us = self.now, max(server.newest_answered_us, sent_us)
+        server.last_response_us, server.newest_answered_us = self.now, max(server.newest_answered_us, attempt.sent_us)
         self.served[server.row] += 1
         self.open_streams[server.row] += 1
         self.new_outcomes, self.outcomes_since_halving = self.new_outcomes + 1, self.outcomes_since_halving + 1
@@ -693,9 +701,8 @@
                 )
         elif stage == "direct":
             self.successful_reads += 1
-            self.record_read(server, latency_us, tokens_ahead)
-            server.tokens_in_flight, self.reads_in_flight = server.tokens_in_flight - uncached_tokens, self.reads_in_flight - 1
-            req.attempts[number][4] = 0
+            self.record_read(server, latency_us, attempt.tokens_ahead)
+            self.end_read_load(attempt)
         req.holder = None
 
     def record_read(self, server, latency_us, tokens, for_kind=True):
@@ -716,29 +723,27 @@
             server.reported_wait_us = report["queue"] * 1e6 / max(1.0, requests / seconds * self.gateways)
             server.wait_reported_us = self.now
         req = self.reqs.get(rid)
-        attempt = req.attempts[number] if req is not None and number < len(req.attempts) else [None] * 4
-        if not attempt[3]:
+        attempt = req.attempts[number] if req is not None and number < len(req.attempts) else None
+        if attempt is None or not attempt.is_open:
             return  # late, a duplicate, or of a request that this router does not know
-        server, stage, sent_us, _, uncached_tokens, tokens_ahead = attempt
-        attempt[3], req.open_attempts = False, req.open_attempts - 1
+        server, stage, sent_us, tokens_ahead = attempt.server, attempt.stage, attempt.sent_us, attempt.tokens_ahead
+        attempt.is_open, req.open_attempts = False, req.open_attempts - 1
         server.waiting.pop((rid, number), None)
         if stage != "read":
             server.stream_tokens -= req.tokens
             if code in NEVER_RAN:
                 req.may_have_run = [r for r in req.may_have_run if r != (server, sent_us)]
         if stage != "write":
-            server.tokens_in_flight -= attempt[4]
-            self.reads_in_flight -= attempt[4] > 0
+            self.end_read_load(attempt)
             if code == "read":
-                if req.tokens - uncached_tokens > 100:
-                    server.cache_accuracy += (
-                        min(1.0, (remark or 0) / (req.tokens - uncached_tokens)) - server.cache_accuracy
-                    ) * 0.3
-                if (remark or 0) < (req.tokens - uncached_tokens) / 2:
+                expected_cached = req.tokens - attempt.uncached_tokens
+                if expected_cached > 100:
+                    server.cache_accuracy += (min(1.0, (remark or 0) / expected_cached) - server.cache_accuracy) * 0.3
+                if (remark or 0) < expected_cached / 2:
                     server.cached_prefixes.pop(req.session, None)
                     if (remark or 0) < req.prefix_tokens / 2:
                         server.cached_prefixes.pop(req.prefix, None)
-                    tokens_ahead += req.tokens - (remark or 0) - uncached_tokens
+                    tokens_ahead += expected_cached - (remark or 0)
                 self.successful_reads += 1
                 self.record_read(server, latency_us, tokens_ahead)
         # The attempt was sent, so it may hold a state that has to be released in time.
@@ -776,6 +781,13 @@
         elif not req.open_attempts:
             self.next_step(req, server, stage, code, remark)
 
+    def end_read_load(self, attempt):
+        """Takes the read of an attempt off its server's load, once."""
+        if attempt.has_read_load:
+            attempt.has_read_load = False
+            attempt.server.tokens_in_flight -= attempt.uncached_tokens
+            self.reads_in_flight -= 1
+
     def clean_up(self, req):
         """Releases the state of a closed request, and forgets the request once no attempt is open."""
         if req.holder is not None:
@@ -809,7 +821,7 @@
             return
         req.closed = True
         for number, attempt in enumerate(req.attempts):
-            if attempt[3] and number != req.begun_attempt and self.may_cancel:  # no client waits for it any more
+            if attempt.is_open and number != req.begun_attempt and self.may_cancel:  # no client waits for it any more
                 self.out.retract(rid, number)
         if not req.open_attempts:
             self.clean_up(req)
--- a/lapiswing/routing/state.py
+++ b/lapiswing/routing/state.py
@@ -28,6 +28,20 @@
         self.reads, self.writes = role != "write", role != "read"
 
 
+class Attempt:
+    """One attempt of a request at one server. Its stage is read, write or direct."""
+
+    __slots__ = ("server", "stage", "sent_us", "is_open", "uncached_tokens", "tokens_ahead", "has_read_load")
+
+    def __init__(self, server, stage, sent_us, uncached_tokens, tokens_ahead):
+        """`uncached_tokens`: of the prompt, which the server has to read; `tokens_ahead`: prompt tokens queued at the server up
+        to its end."""
+        self.server, self.stage, self.sent_us = server, stage, sent_us
+        self.uncached_tokens, self.tokens_ahead = uncached_tokens, tokens_ahead
+        self.is_open = True  # until its outcome
+        self.has_read_load = stage != "write"  # whether its read counts in the server's load
+
+
 class RequestState:
     """One request from its arrival until it is closed and no attempt is open."""
 
@@ -41,7 +55,6 @@
         # due_us: by when the first token is due. connect_by_us: by when an attempt's connection has to be up, so that a held
         # state is released in time.
         self.arrived_us, self.due_us, self.expires, self.connect_by_us = now_us, due_us, expires_us, expires_us
-        # Each attempt: [server, stage, sent, whether it is open, uncached prompt tokens, prompt tokens queued up to its end].
         self.attempts, self.open_attempts, self.tried = [], 0, set()
         # Since when a server holds a state of it, or may hold one; whether a release was sent while an attempt was out.
         self.held_since_us, self.released_beside_attempt = None, False
@@ -123,7 +136,7 @@
     def resize_tables(self):
         """Adds a row for each new server, and forgets servers that have left and have no open request: else the tables would
         grow with every new id."""
-        busy = {attempt[0].id for req in self.reqs.values() for attempt in req.attempts}
+        busy = {attempt.server.id for req in self.reqs.values() for attempt in req.attempts}
         added = len(self.servers) - len(self.served_per_s)
         self.servers = {s.id: s for s in self.servers.values() if s.mode != "gone" or s.id in busy}
         rows = [s.row for s in self.servers.values()]
