Chunked bodies of requests that are refused are not kept while they come

Found on reading the change again: the decoder keeps what it has decoded, up to 256 KB a connection and outside the account. The new test failed on the version before.

--- a/lapiswing/http1/refused_requests.py
+++ b/lapiswing/http1/refused_requests.py
@@ -104,6 +104,7 @@
         """-> whether a chunked body has ended. Raises ProtocolError, also if the chunks cost too much for what is dropped."""
         before = self.decoder.steps
         complete = self.decoder.decode(self.rest)
+        self.decoder.body.clear()
         self.chunk_steps += self.decoder.steps - before
         if self.decoder.out_of_steps or self.chunk_steps > MAX_CHUNK_STEPS:
             raise ProtocolError("too many small chunks", 503)
--- a/tests/test_refused_requests.py
+++ b/tests/test_refused_requests.py
@@ -52,6 +52,16 @@
     assert refused.count == 1 and refused.is_partial and len(refused.rest) == 10
 
 
+def test_what_has_come_of_a_chunked_body_is_not_kept():
+    refused = RefusedRequests(LIMITS)
+    refused.take(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(3):
+        refused.take(b"%x\r\n" % 60_000 + b"x" * 60_000 + b"\r\n")
+    assert refused.is_partial and not refused.rest and not refused.decoder.body
+    refused.take(b"0\r\n\r\n")
+    assert refused.count == 1 and not refused.is_partial
+
+
 @pytest.mark.parametrize(
     "data, status",
     [
