--- a/tests/test_held_states.py
+++ b/tests/test_held_states.py
@@ -9,6 +9,7 @@
 
 # What the settings allow, and 300 ms more on sockets.
 HELD_LIMIT_US = (500 + 300) * MS
+DEADLINE_S = "1.500"  # of the client: well after the limit
 
 
 @pytest.fixture(params=[True, False], ids=["cancel", "no-cancel"])
@@ -37,7 +38,7 @@
     with PlatformHarness(tmp_path, ("read", "write")) as harness:
         reader, writer = harness.platform.servers.values()
         writer.fault = never_arrives
-        client = harness.ask("a1")
+        client = harness.ask("a1", Req_Deadline=DEADLINE_S)
         harness.until(lambda: reader.states)
         harness.loop.call_later(100 * MS, client.close)
         if stops:
@@ -87,7 +88,7 @@
         readers, lost = [s for s in harness.platform.servers.values() if s.role == "read"], []
         for reader in readers:
             reader.fault = read_in_doubt(lost, reader)
-        client = harness.ask("a1")
+        client = harness.ask("a1", Req_Deadline=DEADLINE_S)
         harness.until(lambda: any(reader.states for reader in readers))
         (holder,) = [reader for reader in readers if reader.states]
         if leaves:
@@ -102,7 +103,7 @@
     with PlatformHarness(tmp_path, ("read", "both", "write")) as harness:
         reader, mixed, _ = harness.platform.servers.values()
         reader.fault, mixed.fault = read_in_doubt([], reader), never_arrives
-        client = harness.ask("a1")
+        client = harness.ask("a1", Req_Deadline=DEADLINE_S)
         harness.until(lambda: reader.states)
         assert time_held_us(harness, reader) < HELD_LIMIT_US
         assert mixed.seen
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -216,6 +216,7 @@
         harness.until(lambda: client.status)
         count, body = 40, json.dumps({"messages": [{"role": "user", "content": "x" * 16_000}]}).encode()
         flood(client, b"".join(head(f"c{i}", body, Req_Deadline="30.000") + body for i in range(count)))
+        harness.platform.servers["s-1"].pause_us = 2 * MS
         harness.until(lambda: len(client.statuses()) == 1 + count, 30_000 * MS)
         served = client.statuses().count(200)
         assert client.statuses() == [200] * served + [503] * (1 + count - served) and 16 <= served <= 18
