--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -372,8 +372,10 @@
         name = self.engine.state_name(self.name, req.rid, number)
         params, read_us = (req.state[1], req.state[3]) if req.state else (None, None)
         # A call that must not run twice gets a new connection: if the server closes a kept one in this instant, it can't
-        # be told whether the call ran.
-        new_connection = stage != "read" and self.request_classes[spec.group].effect == "non-replayable"
+        # be told whether the call ran. So does an attempt while a server may hold a state of an earlier one: a kept connection
+        # may have fallen silent, and what never arrives does not stop the state's time.
+        must_not_repeat = stage != "read" and self.request_classes[spec.group].effect == "non-replayable"
+        new_connection = must_not_repeat or req.left is not None
         owner = AttemptListener(self, req, req.rid, number, attempt)
         attempt.timer = self.loop.call_at(
             min(now + timeout_us, req.expires_us - self.margin_us // 2), self.attempt_timed_out, req, req.rid, number
@@ -468,12 +470,8 @@
     def release_unclaimed(self, rid):
         """Releases states that no attempt waits for. Only where the states of a request share its name."""
         req = self.reqs.get(rid)
-        if req is None or not self.engine.states_named_by_req:
-            return
-        if req.state is not None:
+        if req is not None and req.state is not None and self.engine.states_named_by_req:
             self.engine.release(req.state[0], req.state[2])
-        elif req.left is not None:
-            self.engine.release(req.left, self.engine.state_name(self.name, rid))
 
     def retract(self, rid, number):
         """Cancels an attempt that has not begun to answer."""
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -640,11 +640,11 @@
         if server.ejected:
             server.next_probe_us = self.now + self.probe_interval_us
         self.out.forward(req.id, server.id, timeout_us, connect_us)
-        if req.held_since_us is not None:
+        if stage == "write" and req.holder is not None:
             self.schedule_release_check(req, number)
 
     def schedule_release_check(self, req, number):
-        """Sets a timer for a state that is held, or may be, while this attempt is out."""
+        """Sets a timer for a held state that this attempt is to fetch."""
         self.last_release_check += 1
         self.release_checks[self.last_release_check] = req.id, number
         self.out.timer(max(MS, req.held_since_us + self.claim_us - self.now), self.last_release_check)
@@ -657,7 +657,6 @@
         rid, number = self.release_checks.pop(token, (None, None))
         req = self.reqs.get(rid)
         if req is not None and req.begun_attempt is None and req.attempts[number].is_open:
-            req.released_beside_attempt = True
             self.out.release_unclaimed(rid)
 
     def give_up(self, req, retry_after_us=1 << 40):
@@ -749,8 +748,6 @@
         # The attempt was sent, so it may hold a state that has to be released in time.
         if code not in NEVER_SENT and (stage == "read" and code != "full" or req.connect_by_us < req.expires):
             req.connect_by_us = min(req.expires, self.now + self.connect_us)
-        if stage == "read" and code not in NEVER_RAN:
-            req.held_since_us = self.now  # the read may have ended well although its answer was lost
         if code not in ("timed_out", "cancelled", "no_way", "moot"):
             server.last_response_us = self.now
             server.newest_answered_us = max(server.newest_answered_us, sent_us if code == "read" else 0)
@@ -774,7 +771,7 @@
                 self.answer_us[req.class_index] = usual_us + (took_us - usual_us) * 0.05 if usual_us else took_us
                 self.expected_stream_us[server.row] += usual_us or took_us
         if code == "read":
-            req.holder = server
+            req.holder, req.held_since_us = server, self.now
         req.closed = req.closed or bool(ended)
         if req.closed:
             self.clean_up(req)
@@ -803,9 +800,7 @@
         if code == "read":
             return self.write(req)
         if code == "full" and stage == "write" and remark == 1:
-            req.holder = None
-            # The holder may only be unreachable from there and still hold the state, unless it was told to drop it.
-            req.held_since_us = None if req.released_beside_attempt else self.now
+            req.holder = None  # the holder may only be unreachable from there and still hold the state
             self.out.release(req.id)
         elif stage != "read" or code != "reset" or self.failing < 0.1:
             req.tried.add(server.id)  # where answers get lost in general, the reader still has the prompt cached
--- a/lapiswing/routing/state.py
+++ b/lapiswing/routing/state.py
@@ -56,8 +56,7 @@
         # state is released in time.
         self.arrived_us, self.due_us, self.expires, self.connect_by_us = now_us, due_us, expires_us, expires_us
         self.attempts, self.open_attempts, self.tried = [], 0, set()
-        # Since when a server holds a state of it, or may hold one; whether a release was sent while an attempt was out.
-        self.held_since_us, self.released_beside_attempt = None, False
+        self.held_since_us = None  # since when a server holds its state
         self.holder = self.begun_attempt = self.cold_writer = None  # cold_writer: a cold decode server that admits it
         # may_have_run: (server, sent) of attempts that may have had their effect.
         self.may_have_run, self.uncached_tokens, self.closed, self.over_quota = [], tokens, False, False
