Broken streams, failed requests and closed connections are logged with their reasons

A line says what was wrong with the answer, how many events and bytes came, and how long ago the last one; a request that is failed or pushed back shows its attempts with their reasons. Closed connections are counted by reason.

--- a/lapiswing/engine/attempt.py
+++ b/lapiswing/engine/attempt.py
@@ -7,6 +7,9 @@
 
     over, exchange = False, None
     code = remark = report = None
+    why = None  # what was wrong with the answer, for the log
+    event_count = 0  # whole events that have come
+    received_bytes = 0  # of the answer's body
     kept_bytes = 0  # of the answer, as counted in the budget
 
     def __init__(self, owner, budget):
@@ -17,7 +20,7 @@
         """This attempt now keeps `size` bytes. Breaks it off if all attempts together keep too much."""
         more = size - self.kept_bytes
         if more > 0 and not self.budget.take(more):
-            return self.break_off("reset")
+            return self.break_off("reset", "answers without an event use up their memory")
         if more < 0:
             self.budget.give_back(-more)
         self.kept_bytes = size
@@ -41,9 +44,10 @@
             self.exchange.cancel()
             self.end()
 
-    def break_off(self, code):
+    def break_off(self, code, why):
         """Aborts the exchange and reports the outcome `code`."""
         if not self.over:
+            self.why = why
             self.exchange.cancel()
             self.finish(code)
 
--- a/lapiswing/engine/client.py
+++ b/lapiswing/engine/client.py
@@ -76,15 +76,16 @@
         kind = (get(fields, b"content-type") or b"").split(b";")[0].strip().lower()
         wanted = b"application/json" if self.stage == "read" else b"text/event-stream"
         if self.code == "ok" and kind != wanted:
-            self.break_off("error")  # a 200 of another content type than asked for
+            self.break_off("error", "another content type than asked for")
 
     def on_body(self, data):
         if self.over:
             return
+        self.received_bytes += len(data)
         if self.code != "ok" or self.stage == "read":
             self.body += data
             if len(self.body) > max(self.max_event_bytes, MAX_RESPONSE_BYTES):
-                return self.break_off("reset")
+                return self.break_off("reset", "the body is too long")
             return self.count_kept(len(self.body))
         try:
             values, payloads = [], self.events.feed(data)
@@ -97,7 +98,7 @@
                 value = orjson.loads(payload)
                 if "error" in value:  # the server reports that it broke off
                     self.deliver(values, payloads[: len(values)])
-                    return self.break_off("error")
+                    return self.break_off("error", "the server reports an error")
                 value["choices"] or value["usage"]  # raises where the value is no event of this API
                 values.append(value)
             if self.done_seen:
@@ -106,12 +107,13 @@
             if not self.over:
                 self.count_kept(len(self.events.rest) + (0 if self.begun else sum(map(len, self.buffered[1]))))
         except (EventTooLong, ValueError, TypeError, AttributeError, KeyError, IndexError):
-            self.break_off("reset")
+            self.break_off("reset", "what came is no event")
 
     def deliver(self, values, payloads):
         """Passes events to the owner. Events before the first one with content are buffered."""
         if not values or self.over:
             return
+        self.event_count += len(values)
         if not self.begun:
             self.buffered[0].extend(values)
             self.buffered[1].extend(payloads)
@@ -150,6 +152,7 @@
         self.finish("read")
 
     def on_fail(self, stage, why):
+        self.why = f"{stage}: {why}"
         if self.code == "full" and stage == "body":
             return self.finish("full")  # the response head has proved the refusal
         self.finish(of_failure(stage) if stage != "body" or self.code in ("ok", "answered", None) else self.code)
--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -624,7 +624,8 @@
         now = self.loop.clock.now_us()
         handle, answering = attempt.handle, number == req.answering_no
         latency_us = now - attempt.sent_us
-        req.attempt_history.append(f"{attempt.stage} {attempt.server} {code} {latency_us // MS}")
+        why = f" ({handle.why})" if handle.why and code not in ("done", "read") else ""
+        req.attempt_history.append(f"{attempt.stage} {attempt.server} {code} {latency_us // MS}{why}")
         self.tally.attempt_ended(attempt.server, attempt.stage, code, latency_us, report)
         if code == "read":
             # How long the read would take again. A read of which most was cached gives no estimate.
@@ -654,12 +655,13 @@
         elif code == "done":
             self.finish(req, "done", handle.answer)
         elif answering:
-            self.stream_broken(req, code)
+            self.stream_broken(req, attempt, code)
         attempt.handle = None  # the handle refers to its owner: this leaves no reference cycle
 
-    def stream_broken(self, req, code):
+    def stream_broken(self, req, attempt, code):
         """A begun stream broke, with which the request has ended for the router. The rest is asked for as a new request if
         that is allowed, else the request fails."""
+        self.log_broken_stream(req, attempt, code)
         class_settings = self.class_settings[req.spec.group]
         if not self.draining and resume.may_resume(
             self.request_classes[req.spec.group], class_settings.resume, req.resumes, self.limits.resumes, req.answer.assembler
@@ -685,6 +687,22 @@
         else:
             self.finish(req, "aborted", f"The stream from the model server broke off ({code}).")
 
+    def log_broken_stream(self, req, attempt, code):
+        """Logs why a begun stream did not come to its end, and what it brought last."""
+        now, handle = self.loop.clock.now_us(), attempt.handle
+        self.logger.warning(
+            "stream broken",
+            req=req.rid,
+            server=attempt.server,
+            code=code,
+            why=handle.why,
+            ms=(now - attempt.sent_us) // MS,
+            silent_ms=(now - attempt.progress_us) // MS,
+            events=handle.event_count,
+            bytes=handle.received_bytes,
+            paused=req.paused,
+        )
+
     def backstop_due(self, req):
         """Answers a request that the router has not answered in time."""
         if not req.over and req.answering_no is None:
@@ -757,6 +775,15 @@
                 trail="; ".join(req.attempt_history),
                 why=detail if isinstance(detail, str) else None,
             )
+        elif result in ("aborted", "pushed back"):
+            self.logger.info(
+                "not served",
+                req=req.rid,
+                end=result,
+                ms=(now - req.accepted_us) // MS,
+                trail="; ".join(req.attempt_history),
+                why=detail if isinstance(detail, str) else None,
+            )
         self.ended.append(req)
         for number in [n for n in req.attempts if n != req.answering_no]:
             if result != "left":  # for a client that left, the router cancels what it wants cancelled
@@ -871,7 +898,7 @@
 class PendingHandle:
     """Handle of an attempt that waits for its intent to be recorded."""
 
-    report = answer = None
+    report = answer = why = None
     unsent = True
 
     def __init__(self, name):
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -1,5 +1,8 @@
 """The server side. `app(exchange)` is called when a whole request has been received."""
 
+from collections import Counter
+from enum import Enum
+
 from lapiswing.http1.chunked import ChunkedDecoder
 from lapiswing.http1.exchange import Exchange
 from lapiswing.http1.input_account import Arrivals, InputAccount
@@ -14,6 +17,19 @@
 MAX_DISCARDED_BYTES = 4 << 20  # read behind an open request and not kept; a client that sends more is disconnected
 
 
+class CloseReason(Enum):
+    """Why this side closed a connection without being asked to. The values are part of the names of figures in the log."""
+
+    NO_REQUEST = "no_request"  # none was complete in time
+    IDLE = "idle"
+    NOT_READ = "not_read"  # the client reads nothing of its answer
+    HEAD_LATE = "head_late"
+    BODY_LATE = "body_late"
+    NO_ROOM = "no_room"  # its place was needed
+    TOO_MUCH = "too_much"  # more was sent behind an open request than is read
+    DRAINED = "drained"  # the server stops
+
+
 class Connection:
     """Owner of one client's stream. Requests are answered in order. While one is being answered, later input is buffered
     unparsed up to a limit; the requests beyond it are discarded and refused, each in its turn."""
@@ -77,6 +93,7 @@
         """Counts input that is not kept. Disconnects a client that never stops sending."""
         self.discarded_bytes += size
         if self.discarded_bytes > MAX_DISCARDED_BYTES:
+            self.server.closes[CloseReason.TOO_MUCH] += 1
             self.stream.abort()
 
     def refuse_discarded(self):
@@ -281,6 +298,7 @@
 
     def reclaim(self):
         """Closes at once to free the descriptor. A partly received request is refused rather than dropped."""
+        self.server.closes[CloseReason.NO_ROOM] += 1
         if self.phase in ("head", "body"):
             self.closing_at_once = True
             self.refuse(503, "too many connections")
@@ -308,16 +326,21 @@
         if self.phase == "idle" and not self.stream.closing and self.stream.pending():
             return  # input has arrived and is read first, in the next turn
         if self.stream.unsent_bytes and now - self.stream.last_progress_us > limits.stall_us:
+            self.server.closes[CloseReason.NOT_READ] += 1
             return self.stream.abort()
         if not self.served and limits.first_request_us is not None and now - self.opened_us > limits.first_request_us:
+            self.server.closes[CloseReason.NO_REQUEST] += 1
             if self.stream.closing or self.phase == "idle" or self.current is not None:
                 return self.stream.abort()
             return self.refuse(408, "the request was not received in time")
         if self.phase == "idle" and elapsed_us > limits.idle_us or self.stream.closing and elapsed_us > limits.idle_us:
+            self.server.closes[CloseReason.IDLE] += 1
             self.stream.close() if not self.stream.closing else self.stream.abort()
         elif self.phase == "head" and elapsed_us > limits.head_us:
+            self.server.closes[CloseReason.HEAD_LATE] += 1
             self.refuse(408, "the head was not received in time")
         elif self.phase == "body" and elapsed_us > limits.body_us:
+            self.server.closes[CloseReason.BODY_LATE] += 1
             self.refuse(408, "the body was not received in time")
 
     def on_eof(self):
@@ -348,6 +371,7 @@
         self.loop, self.app, self.limits = loop, app, limits
         self.connections, self.listener, self.closing = set(), None, False
         self.requests = self.refused = 0
+        self.closes = Counter()  # of connections, by CloseReason
         self.account = InputAccount()
         self.refusal_fields = ()  # of the answers to requests that were read and not kept, such as a retry time
         self.at_limit, self.on_limit = False, None  # `on_limit(bool)`: incomplete requests begin or cease to be refused
@@ -458,6 +482,7 @@
             return
         for conn in [conn for conn in self.connections if conn.phase == "idle" and conn.served and not conn.stream.closing]:
             if self.loop.now - conn.phase_since_us > self.limits.reclaim_idle_us and not conn.stream.pending():
+                self.closes[CloseReason.IDLE] += 1
                 conn.stream.close()
 
     def drain(self):
@@ -466,6 +491,7 @@
         self.closing = True
         for conn in list(self.connections):
             if not conn.busy():
+                self.closes[CloseReason.DRAINED] += 1
                 conn.stream.close()
 
     def busy(self):
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -22,6 +22,7 @@
 from lapiswing.node import view
 from lapiswing.node.discovery import LIST_DECODER, Discovery, ServerList
 from lapiswing.node.front import Front, retry_after_fields
+from lapiswing.node.rate_limited_log import RateLimitedLog
 from lapiswing.node.release_targets import ReleaseTargets
 from lapiswing.node.servers import MAX_BODY_BYTES, Servers
 from lapiswing.policy import Router
@@ -44,7 +45,6 @@
 LISTEN_TIMEOUT_US, LISTEN_RETRY_US = 8000 * MS, 50 * MS  # waits for a port in use; a restart has 10 s to become ready
 RELOAD_ATTEMPTS, RELOAD_RETRY_US = 30, 100 * MS  # to read a changed configuration, which must apply 4 s after the signal
 START_READ_ATTEMPTS = 20  # retries for a configuration file that is still being written at the start
-LOG_BURST_LINES, LOG_LINES_PER_S = 200, 5
 
 
 class CoreLimits(NamedTuple):
@@ -78,34 +78,6 @@
     mapping: Mapping = Mapping()
 
 
-class RateLimitedLog:
-    """Limits the log's rate with a token bucket, because log output counts as memory on the platform."""
-
-    def __init__(self, log, clock):
-        self.log, self.clock, self.tokens, self.refilled_us = log, clock, LOG_BURST_LINES, clock.now_us()
-
-    def take_token(self):
-        now = self.clock.now_us()
-        self.tokens = min(LOG_BURST_LINES, self.tokens + (now - self.refilled_us) * LOG_LINES_PER_S / 1e6)
-        self.refilled_us = now
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
-    def info(self, event, **fields):
-        if self.take_token():
-            self.log.info(event, **fields)
-
-    def warning(self, event, **fields):
-        if self.take_token():
-            self.log.warning(event, **fields)
-
-    def error(self, event, **fields):
-        if self.take_token():
-            self.log.error(event, **fields)
-
-
 class Node:
     """One gateway of the platform."""
 
@@ -320,6 +292,7 @@
             "refused_open": self.core.counts["out of memory"],
             "refused_server_bytes": self.servers.kept.refused,
             "turns_over_budget": self.loop.turns_over_budget,
+            **{f"closed_{reason.value}": count for reason, count in self.server.closes.items()},
         }
 
     def log_input_limit(self, at_limit):
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -44,7 +44,7 @@
         super().__init__(owner, servers.kept)
         self.servers, self.server, self.name, self.begun = servers, server, name, False
         self.status = self.timer = self.params = self.cached = self.answer = None
-        self.received_bytes, self.body, self.incomplete_block = 0, bytearray(), b""
+        self.body, self.incomplete_block = bytearray(), b""
 
     def end(self):
         self.cancel_timer()
@@ -68,7 +68,7 @@
             return
         self.received_bytes += len(data)
         if self.received_bytes > MAX_BODY_BYTES:
-            return self.break_off("reset")
+            return self.break_off("reset", "the body is too long")
         if self.code == "stream":
             self.take_events(data)
         else:
@@ -83,7 +83,7 @@
         end = data.rfind(b"\n\n") + 2
         if end < 2 or len(data) - end > MAX_EVENT_BYTES:
             if len(data) > MAX_EVENT_BYTES:
-                return self.break_off("reset")
+                return self.break_off("reset", "an event is too long")
             end = 0
         whole, self.incomplete_block = (data[:end], data[end:]) if end else (b"", data)
         events = 0
@@ -92,8 +92,9 @@
                 continue
             found = self.count_events(block)
             if found is None:
-                return self.break_off("reset")
+                return self.break_off("reset", "what came is no event")
             events += found
+        self.event_count += events
         if whole and not self.begun:
             self.body += whole
             if not events:
@@ -119,7 +120,7 @@
         if self.over:
             return
         if self.received_bytes == received_bytes:
-            return self.break_off("reset")
+            return self.break_off("reset", "a chunk has stopped")
         self.watch_chunk()
 
     def count_events(self, block):
@@ -169,6 +170,7 @@
         self.finish(self.code)
 
     def on_fail(self, stage, why):
+        self.why = f"{stage}: {why}"
         if stage == "connect":
             self.servers.record_silence(self.server)
         not_run = self.code == "full" and stage == "body"  # the head has already proved it
