A stream is not cut because its server, or its client, pauses in the middle of a chunk

Callers lost a long answer that its server was still writing: 3 s without a byte inside a chunk ended the attempt (ServerAttempt.watch_chunk), also where this side had stopped reading for a slow client. The timer is gone: a chunk that never ends brings no event, and the clock of events ends it; before the first event the attempt has its own time, and the decisions take it back earlier where they may.

--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -61,11 +61,6 @@
         """Whether the kernel has not got the whole request yet. If the exchange ends now the server can't have run it."""
         return not self.over and (self.conn is None or self.conn.stream.sent - self.conn.sent_before < self.size)
 
-    @property
-    def in_chunk(self):
-        """Whether a chunk has begun and not ended, so that more bytes are due."""
-        return self.conn is not None and self.conn.in_chunk
-
     def fail(self, stage, why):
         """Ends the exchange with an error."""
         if not self.over:
@@ -85,7 +80,6 @@
         """Writes the exchange's request."""
         self.exchange, exchange.conn = exchange, self
         self.buffer, self.parser, self.body_left, self.complete, self.reusable = bytearray(), None, None, False, True
-        self.in_chunk = False
         self.interim_answers = 0
         self.searched_bytes = 0  # of the buffer, in which the end of the head does not begin
         self.sent_before = self.stream.sent
@@ -199,12 +193,6 @@
         if not self.complete:
             self.parts.append(data)
 
-    def on_chunk_header(self):
-        self.in_chunk = True
-
-    def on_chunk_complete(self):
-        self.in_chunk = False
-
     def on_message_begin(self):
         # A second answer right behind the first: its bytes must not be taken for the first one's.
         if self.complete:
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -16,7 +16,6 @@
 MAX_BODY_BYTES = 256 * 1024  # limit of the platform for any body
 MAX_EVENT_BYTES = 65536
 MAX_KEPT_BYTES = 32 << 20
-CHUNK_STALL_US = 3000 * MS  # a chunk that has begun and brings nothing for this long has a wrong size
 SETTLE_US = 20 * MS  # delay before a release, so that what was sent earlier has arrived
 DEFAULT_RELEASE_US = 500 * MS  # time for a release if the settings give none
 MAX_WAVES = 2 * release_targets.WAVES_IN_TIME  # a release that no server has answered by twice its time is given up
@@ -43,18 +42,9 @@
     def __init__(self, servers, owner, server, name):
         super().__init__(owner, servers.kept)
         self.servers, self.server, self.name, self.begun = servers, server, name, False
-        self.status = self.timer = self.params = self.cached = self.answer = None
+        self.status = self.params = self.cached = self.answer = None
         self.body, self.incomplete_block = bytearray(), b""
 
-    def end(self):
-        self.cancel_timer()
-        return super().end()
-
-    def cancel_timer(self):
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
     # ---- handler of the HTTP exchange
 
     def on_head(self, status, fields):
@@ -105,23 +95,6 @@
                 return
         if whole:
             self.owner.on_events(self, (), (whole,))
-        self.watch_chunk()
-
-    def watch_chunk(self):
-        """Fails the attempt if a chunk whose size was wrong leaves the connection open with nothing more to come. A network
-        that stalls for CHUNK_STALL_US in the middle of a chunk fails it as well."""
-        if not self.over and self.exchange.in_chunk != (self.timer is not None):
-            self.cancel_timer()
-            if self.exchange.in_chunk:
-                self.timer = self.servers.loop.call_later(CHUNK_STALL_US, self.stalled, self.received_bytes)
-
-    def stalled(self, received_bytes):
-        self.timer = None
-        if self.over:
-            return
-        if self.received_bytes == received_bytes:
-            return self.break_off("reset", "a chunk has stopped")
-        self.watch_chunk()
 
     def count_events(self, block):
         """-> how many events the block contains, None if it is not a valid block of an event stream."""
@@ -365,7 +338,7 @@
 class UnlistedServerExchange:
     """Stands in for an exchange with a server that has just left the list; fails on the loop's next turn."""
 
-    in_chunk, unsent = False, True
+    unsent = True
 
     def __init__(self, loop, attempt):
         self.attempt = attempt
