An answer that announces more than fits, or goes on behind its end mark, is spoilt

Callers waited without end on a stream whose server announced a chunk or a length of 3 GB and went on with what looks like events, or with events behind [DONE]. Nothing looked at the announced size; only 256 KiB that had come ended it, after as long as that took. Evidence: 'a huge chunk of events', 'a huge length, and events', 'the end mark, and events' were open after 9 s. Servers' answers are now decoded by the decoder of requests (ChunkedDecoder), which refuses a chunk by its size; the second parser is gone from this path. Framing is not limited there: an answer in chunks of one byte is long, not spoilt. What can't begin an event fails at once. A fault in the same read as the first event fails the attempt before it has begun, as before, so that it can be sent again.

--- a/lapiswing/http1/chunked.py
+++ b/lapiswing/http1/chunked.py
@@ -16,11 +16,14 @@
 
 
 class ChunkedDecoder:
-    """Decodes one body. `body` holds what has been decoded so far, `complete` tells whether the body has ended, and
-    `out_of_steps` whether the last call left input that it could have decoded."""
-
-    def __init__(self, max_body_bytes):
-        self.max_body_bytes, self.body = max_body_bytes, bytearray()
+    """Decodes one body. `body` holds what has been decoded and not taken so far, `complete` tells whether the body has ended, and
+    `out_of_steps` whether the last call left input that it could have decoded. A chunk that does not fit into the limit of the
+    body is refused by its size, before its data comes."""
+
+    def __init__(self, max_body_bytes, max_framing_bytes=MAX_FRAMING_BYTES):
+        """`max_framing_bytes`: on top of as many bytes as the body has. Both limits may be infinite."""
+        self.max_body_bytes, self.max_framing_bytes, self.body = max_body_bytes, max_framing_bytes, bytearray()
+        self.taken_bytes = 0  # of the body
         self.chunk_left = 0  # bytes of the current chunk's data still to come
         self.framing_bytes, self.complete, self.steps, self.out_of_steps = 0, False, 0, False
         self.state = ChunkedDecoder.read_size  # not a bound method, which would make a reference cycle
@@ -41,6 +44,17 @@
         del buffer[:position]
         return self.complete
 
+    def take_body(self):
+        """-> what has been decoded since the last call."""
+        body, self.body = self.body, bytearray()
+        self.taken_bytes += len(body)
+        return bytes(body)
+
+    @property
+    def body_bytes(self):
+        """The size of the body so far."""
+        return self.taken_bytes + len(self.body)
+
     # ---- states: each returns the position after what it has read, None if more input is needed
 
     def read_size(self, buffer, position):
@@ -55,7 +69,7 @@
             raise ProtocolError("malformed chunk size")
         self.chunk_left = int(match[1], 16)
         self.count_framing(end - position + 2 * len(CRLF))
-        if len(self.body) + self.chunk_left > self.max_body_bytes:
+        if self.body_bytes + self.chunk_left > self.max_body_bytes:
             raise ProtocolError("the body is too long", 413)
         self.state = ChunkedDecoder.read_data if self.chunk_left else ChunkedDecoder.read_trailer
         return end + len(CRLF)
@@ -110,5 +124,5 @@
     def count_framing(self, size):
         """Limits the bytes that are not part of the body."""
         self.framing_bytes += size
-        if self.framing_bytes > MAX_FRAMING_BYTES + len(self.body):
+        if self.framing_bytes > self.max_framing_bytes + self.body_bytes:
             raise ProtocolError("too much framing for the size of the body")
--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -1,13 +1,14 @@
 """The client side: a bounded pool of keep-alive connections for each address."""
 
 from collections import deque
+from math import inf
 
-import httptools
-
+from lapiswing.http1.chunked import ChunkedDecoder
 from lapiswing.http1.wire import STATUS_LINE, ProtocolError, check_framing, has_token, request_head, split_head
 from lapiswing.loop import NO_DESCRIPTOR, connect
 
 HEAD_BYTES = 16384  # limit of an answer's head
+READ_BYTES = 16384  # of one read of an answer: what a slow client leaves unread here is read before its server is paused
 MAX_INTERIM_ANSWERS = 32  # 1xx answers before the answer to a request
 SETTLE_US = 20_000  # rest of a connection after an answer: servers' faulty second answers come some milliseconds late
 WIDESPREAD_AFTER_US = 60_000  # long enough for three attempts to connect
@@ -74,12 +75,12 @@
     def __init__(self, pool, address, stream):
         self.pool, self.address, self.stream = pool, address, stream
         self.exchange, self.idle_us, self.sent_before = None, 0, 0
-        stream.owner = self
+        stream.owner, stream.most = self, READ_BYTES
 
     def start(self, exchange):
         """Writes the exchange's request."""
         self.exchange, exchange.conn = exchange, self
-        self.buffer, self.parser, self.body_left, self.complete, self.reusable = bytearray(), None, None, False, True
+        self.buffer, self.decoder, self.body_left, self.complete, self.reusable = bytearray(), None, None, False, True
         self.interim_answers = 0
         self.searched_bytes = 0  # of the buffer, in which the end of the head does not begin
         self.sent_before = self.stream.sent
@@ -114,10 +115,7 @@
                     return
             if data and not exchange.over:
                 self.take_body(data)
-        except (ProtocolError, httptools.HttpParserError) as problem:
-            if self.complete and not exchange.over:  # the answer is complete; what follows belongs to no request
-                self.reusable = False
-                return self.finish()
+        except ProtocolError as problem:
             exchange.fail("body" if exchange.got_head else "head", f"invalid answer: {problem}")
             return self.stream.abort()
         if self.complete and not exchange.over:
@@ -151,10 +149,11 @@
         if status in (204, 304):
             length = 0
         if length == "chunked":
-            self.parser = httptools.HttpResponseParser(self)
-            self.parser.feed_data(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+            self.decoder = ChunkedDecoder(self.pool.max_body_bytes, inf)
         elif length is None:
             self.reusable = False
+        elif length > self.pool.max_body_bytes:
+            raise ProtocolError("the body is too long")
         self.body_left = length if isinstance(length, int) else None
         self.exchange.got_head = True
         self.complete = self.body_left == 0
@@ -166,18 +165,8 @@
     def take_body(self, data):
         """Passes the body's bytes in `data` to the handler."""
         exchange = self.exchange
-        if self.parser is not None:
-            self.parts = []
-            try:
-                self.parser.feed_data(data)
-            except httptools.HttpParserError:
-                if not self.complete:
-                    raise
-                self.reusable = False
-            # Not from within a parser callback: the handler may cancel, which must not happen in the middle of feed_data.
-            parts = self.parts
-            if parts:
-                exchange.handler.on_body(parts[0] if len(parts) == 1 else b"".join(parts))
+        if self.decoder is not None:
+            self.take_chunks(data)
         elif self.body_left is not None:
             if len(data) > self.body_left:
                 data, self.reusable = data[: self.body_left], False
@@ -187,32 +176,31 @@
         else:
             exchange.handler.on_body(data)
 
-    # ---- callbacks of the parser
-
-    def on_body(self, data):
-        if not self.complete:
-            self.parts.append(data)
-
-    def on_message_begin(self):
-        # A second answer right behind the first: its bytes must not be taken for the first one's.
-        if self.complete:
+    def take_chunks(self, data):
+        """Decodes chunks. Raises ProtocolError and passes on nothing of `data` if there is a fault in its framing: an answer
+        whose first bytes are faulty has not begun."""
+        decoder = self.decoder
+        self.buffer += data
+        while not decoder.decode(self.buffer) and decoder.out_of_steps:
+            pass
+        self.complete = decoder.complete
+        body = decoder.take_body()
+        if body:
+            self.exchange.handler.on_body(body)
+        if self.complete and self.buffer:  # a second answer right behind the first, which belongs to no request
             self.reusable = False
-
-    def on_message_complete(self):
-        self.complete = True
-
-    # ----
+            self.buffer.clear()
 
     def finish(self):
         """The answer is complete."""
-        exchange, self.exchange, self.parser = self.exchange, None, None
+        exchange, self.exchange, self.decoder = self.exchange, None, None
         exchange.over = True
         self.pool.reuse(self)
         exchange.handler.on_end()
 
     def on_eof(self):
         exchange = self.exchange
-        if exchange is not None and exchange.got_head and self.body_left is None and self.parser is None:
+        if exchange is not None and exchange.got_head and self.body_left is None and self.decoder is None:
             self.reusable = False
             self.stream.close()
             return self.finish()
@@ -224,7 +212,7 @@
 
     def on_closed(self, why):
         self.pool.connection_closed(self)
-        exchange, self.exchange, self.parser = self.exchange, None, None
+        exchange, self.exchange, self.decoder = self.exchange, None, None
         if exchange is None or exchange.over:
             return
         if self.used and self.stream.sent == self.sent_before:
@@ -296,10 +284,11 @@
         connect_us=250_000,
         settle_us=0,
         max_total=None,
+        max_body_bytes=inf,
     ):
         """`settle_us`: how long a connection rests after an answer before it is reused, so that stray bytes behind the answer
         are noticed and not taken for the next one's. `max_total`: limit over all addresses; idle connections are closed to
-        stay within it."""
+        stay within it. `max_body_bytes`: of an answer; one that announces more has failed."""
         self.loop, self.max_per_address, self.max_idle_per_address, self.idle_us, self.connect_us = (
             loop,
             max_per_address,
@@ -307,7 +296,7 @@
             idle_us,
             connect_us,
         )
-        self.settle_us, self.max_total = settle_us, max_total
+        self.settle_us, self.max_total, self.max_body_bytes = settle_us, max_total, max_body_bytes
         self.idle, self.open_count, self.queues, self.all = {}, {}, {}, set()
         self.opened = self.reused = 0
         self.local_failures = LocalFailures()
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -20,7 +20,7 @@
 from lapiswing.membership.startup import Startup
 from lapiswing.node import config as configs
 from lapiswing.node import view
-from lapiswing.node.discovery import LIST_DECODER, Discovery, ServerList
+from lapiswing.node.discovery import LIST_DECODER, MAX_LIST_BYTES, Discovery, ServerList
 from lapiswing.node.front import Front, retry_after_fields
 from lapiswing.node.rate_limited_log import RateLimitedLog
 from lapiswing.node.release_targets import ReleaseTargets
@@ -105,11 +105,12 @@
             limits.get("connect_timeout_us") or 250 * MS,
             settle_us=SETTLE_US,
             max_total=server_connections,
+            max_body_bytes=MAX_BODY_BYTES,
         )
         self.answer_buffer_bytes = min(
             max(MIN_ANSWER_BUFFER_BYTES, memory_bytes // CLIENT_ANSWERS_PART // self.max_clients), MAX_ANSWER_BUFFER_BYTES
         )
-        self.discovery_pool = Pool(self.loop, 4, 1, 60_000 * MS, 1000 * MS)
+        self.discovery_pool = Pool(self.loop, 4, 1, 60_000 * MS, 1000 * MS, max_body_bytes=MAX_LIST_BYTES)
         report = settings.get("report") or {}
         self.servers = Servers(
             self.loop,
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -16,6 +16,8 @@
 MAX_BODY_BYTES = 256 * 1024  # limit of the platform for any body
 MAX_EVENT_BYTES = 65536
 MAX_KEPT_BYTES = 32 << 20
+END_MARK = b"data: [DONE]"
+LINE_STARTS = (b"data: ", b":")  # of the lines that a stream may consist of
 SETTLE_US = 20 * MS  # delay before a release, so that what was sent earlier has arrived
 DEFAULT_RELEASE_US = 500 * MS  # time for a release if the settings give none
 MAX_WAVES = 2 * release_targets.WAVES_IN_TIME  # a release that no server has answered by twice its time is given up
@@ -43,6 +45,7 @@
         super().__init__(owner, servers.kept)
         self.servers, self.server, self.name, self.begun = servers, server, name, False
         self.status = self.params = self.cached = self.answer = None
+        self.end_mark_seen = False
         self.body, self.incomplete_block = bytearray(), b""
 
     # ---- handler of the HTTP exchange
@@ -84,6 +87,8 @@
             if found is None:
                 return self.break_off("reset", "what came is no event")
             events += found
+        if not may_begin_block(self.incomplete_block):
+            return self.break_off("reset", "what came is no event")
         self.event_count += events
         if whole and not self.begun:
             self.body += whole
@@ -103,7 +108,10 @@
             if line[:1] == b":":
                 if line.startswith(LOAD_COMMENT):
                     self.report = parse_load(line[len(LOAD_COMMENT) :], self.servers.load_names) or self.report
-            elif line == b"data: [DONE]":
+            elif line[:6] == b"data: " and self.end_mark_seen:
+                return None
+            elif line == END_MARK:
+                self.end_mark_seen = True
                 events += 1
             elif line[:6] == b"data: ":
                 try:
@@ -150,6 +158,11 @@
         self.finish("full" if not_run else of_failure(stage))
 
 
+def may_begin_block(data):
+    """Whether a block of an event stream may begin so."""
+    return any(data.startswith(start) or start.startswith(data) for start in LINE_STARTS)
+
+
 class ControlCall:
     """A request without a body to a listed server. Calls `done(code, status, report, body)` once."""
 
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -74,6 +74,10 @@
     "a pause before the last chunk": [Part(OPENING + chunk(DONE)), Part(LAST_CHUNK, 4 * S)],
     "comments between events": [Part(OPENING), Part(chunk(b": x\n\n"), 200 * MS, 20), Part(chunk(EVENT + DONE) + LAST_CHUNK)],
     "single bytes": [Part(OPENING), *[Part(bytes([b]), 20 * MS) for b in chunk(EVENT) + chunk(DONE) + LAST_CHUNK]],
+    "a long answer in chunks of one byte": [
+        Part(OPENING + b"".join(chunk(bytes([byte])) for byte in EVENT * 600)),
+        Part(chunk(DONE) + LAST_CHUNK, SOON),
+    ],
     "seven seconds in all": [Part(OPENING), Part(chunk(EVENT), S, 7), Part(chunk(DONE) + LAST_CHUNK)],
 }
 
