A broken stream's client gets what came before the break, then the connection's end

Callers of a stream that broke in the turn in which it began saw a reset and no answer at all: Exchange.abort threw away what the loop had not written yet. With reads of 16 KB a turn holds several, so the first may begin a stream that the second spoils. What is written goes out, then the connection ends without the last chunk; where the client reads too slowly, or no chunk would be missed, by a reset as before.

--- a/lapiswing/http1/exchange.py
+++ b/lapiswing/http1/exchange.py
@@ -81,10 +81,10 @@
         self.conn.answered(self)
 
     def abort(self):
-        """Ends the answer so that the client notices that it is incomplete."""
+        """Ends the answer so that the client notices that it is incomplete. What has been written before is sent."""
         if not self.over:
             self.over, self.on_left, self.on_drained = True, None, None
-            self.conn.stream.abort()
+            self.conn.end_incomplete(self)
 
     def write(self, data):
         self.conn.stream.write(data)
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -267,6 +267,15 @@
         self.refuse_discarded()
         self.update_account()
 
+    def end_incomplete(self, exchange):
+        """Ends the connection behind an incomplete answer: without its last chunk, or by a reset where no chunk would be missed
+        or the client reads too slowly to get the rest at once."""
+        self.stream.flush()
+        if exchange is not self.current or not exchange.chunked or self.stream.unsent_bytes:
+            return self.stream.abort()
+        self.current = None
+        self.close()
+
     def is_last_answer(self):
         """Whether this is the connection's last answer: the server is stopping and no further input has arrived."""
         return self.server.closing and not self.has_more_input()
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -5,6 +5,7 @@
 from gateway_process import GatewayProgram
 from platform_harness import PlatformHarness
 
+from lapiswing.http1.client import READ_BYTES
 from lapiswing.standin.platform import ModelServer
 
 MS, S = 1000, 1_000_000  # in microseconds
@@ -150,3 +151,12 @@
         script = Script(harness, WRITTEN_SLOWLY)
         script.play(9 * S)
         assert not [name for name, client in script.clients.items() if client.truncated]
+
+
+def test_what_came_before_a_fault_reaches_the_client_before_the_connection_ends(tmp_path):
+    """A reset would take the head of the answer with it: a request that was read, and no answer at all."""
+    with PlatformHarness(tmp_path, ("both",)) as harness:
+        sent = b"".join(chunk(EVENT) for _ in range(2 * READ_BYTES // len(EVENT)))
+        harness.platform.servers["s-1"].fault = lambda exchange: exchange.write(CHUNKED + sent + b"zz\r\n") or True
+        client = harness.ask("a1").wait_answer()
+        assert client.status == 200 and EVENT in client.body and client.truncated
