A peer's clock for taking what is sent is not set back by what the peer sends

A client that read nothing of its answer and kept sending single bytes was never ended, with its answer and the attempt of its server kept; so was a WebSocket in its closing handshake whose client went on sending. Stream had one time for both directions, and the closing limit counted from the last bytes received. Sent and received have their own times now, a closing handshake counts from its beginning; the fleet link uses the right one too.

--- a/lapiswing/fleet/transport.py
+++ b/lapiswing/fleet/transport.py
@@ -123,7 +123,7 @@
         """Closes the connection if it has stalled or is idle."""
         now = self.loop.now
         has_unsent = self.stream is not None and (self.stream.unsent_bytes or self.queue)
-        if has_unsent and now - self.stream.last_progress_us > STALL_TIMEOUT_US:
+        if has_unsent and now - self.stream.last_sent_us > STALL_TIMEOUT_US:
             self.transport.counts["dropped"] += len(self.queue)
             return self.end()
         if now - self.used_us > IDLE_TIMEOUT_US:
--- a/lapiswing/gateway/fronts/websocket.py
+++ b/lapiswing/gateway/fronts/websocket.py
@@ -27,6 +27,7 @@
 MS = 1000
 PROTOCOL = "lapiswing.chat.v1"
 MAX_TURN_BYTES = 262144  # sent to all sessions in one turn of the loop
+CLOSING_LIMIT_US = 5000 * MS  # for the client's reply to the closing handshake, and its last bytes
 MAX_EVENTS_PER_CALL = 64  # of one connection, as tiny frames cost far more than their bytes
 RETRY_ADVICE = {
     pb.REPLAYABLE: "It is safe to call again.",
@@ -310,7 +311,7 @@
             session, self.session = self.session, None
             session.owner = None
             self.front.end(session)
-        self.closing, self.awaits_close = True, False
+        self.start_closing(False)
         self.stream.close()
 
     def on_eof(self):
@@ -338,9 +339,9 @@
         settings = self.front.settings
         if (
             self.stream.unsent_bytes
-            and now - self.stream.last_progress_us > settings.stall_ms * MS
+            and now - self.stream.last_sent_us > settings.stall_ms * MS
             or self.closing
-            and (now - self.last_received_us > 5_000_000)
+            and now - self.closing_since_us > CLOSING_LIMIT_US
         ):
             return self.stream.abort()
         if now - self.last_received_us > 2 * settings.ping_ms * MS + 5_000_000:
@@ -361,7 +362,7 @@
         has read everything, and its session ends."""
         if self.closing:
             return
-        self.closing, self.awaits_close = True, await_reply
+        self.start_closing(await_reply)
         try:
             self.stream.write(self.protocol.send(CloseConnection(code, why)))
         except LocalProtocolError:
@@ -369,7 +370,13 @@
         if not self.awaits_close:
             self.stream.close()
 
-    awaits_close = False
+    def start_closing(self, await_reply):
+        """From now on only the client's reply to the closing handshake is waited for, if anything."""
+        if not self.closing:
+            self.closing_since_us = self.loop.now
+        self.closing, self.awaits_close = True, await_reply
+
+    awaits_close, closing_since_us = False, None
 
     def error(self, code, text, rid=None):
         """Sends an error message."""
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -334,7 +334,7 @@
             return  # a lingering close has its own timer
         if self.phase == "idle" and not self.stream.closing and self.stream.pending():
             return  # input has arrived and is read first, in the next turn
-        if self.stream.unsent_bytes and now - self.stream.last_progress_us > limits.stall_us:
+        if self.stream.unsent_bytes and now - self.stream.last_sent_us > limits.stall_us:
             self.server.closes[CloseReason.NOT_READ] += 1
             return self.stream.abort()
         if not self.served and limits.first_request_us is not None and now - self.opened_us > limits.first_request_us:
@@ -461,7 +461,7 @@
         self.set_at_limit(True)
         part = limit // len(self.connections)
         found = [conn for conn in self.connections if conn.unfinished_bytes > part and not conn.stream.closing]
-        found.sort(key=lambda conn: (conn.stream.last_progress_us, -conn.unfinished_bytes))
+        found.sort(key=lambda conn: (conn.stream.last_received_us, -conn.unfinished_bytes))
         for conn in found:
             if account.unfinished_bytes <= limit * 7 // 8:
                 return
--- a/lapiswing/loop/stream.py
+++ b/lapiswing/loop/stream.py
@@ -48,7 +48,7 @@
         self.loop, self.sock, self.owner, self.high, self.low = loop, sock, owner, high, low
         self.out, self.unsent_bytes, self.full = deque(), 0, False
         self.sent = self.received = 0
-        self.last_progress_us = loop.clock.now_us()  # when bytes were last received or accepted by the kernel
+        self.last_received_us = self.last_sent_us = loop.clock.now_us()  # sent: when the kernel last accepted bytes
         self.reading, self.closed, self.closing, self.ended = True, False, False, False
         self.events = 0
         self.linger_us = self.linger_left = 0
@@ -123,7 +123,7 @@
                 return
             except OSError as problem:
                 return self.transfer_failed(problem)
-            self.last_progress_us = self.loop.now
+            self.last_received_us = self.loop.now
             if data is None:
                 self.received += size
                 self.target = self.target[size:]
@@ -173,7 +173,7 @@
         if self.closed or self.closing or not data:
             return
         if not self.out:
-            self.last_progress_us = self.loop.now
+            self.last_sent_us = self.loop.now  # what is left unsent waits from now on
         self.out.append(data)
         self.unsent_bytes += len(data)
         if self.unsent_bytes > self.high:
@@ -215,7 +215,7 @@
                 return self.transfer_failed(problem)
             if not done:  # the file has become shorter while it is being sent: the promised bytes can't be delivered
                 return self.drop("file ended early")
-            self.last_progress_us = self.loop.now
+            self.last_sent_us = self.loop.now
             self.sent += done
             self.unsent_bytes -= done
             while done:
