Engine events without content do not set back the clock of a stream

Clients of the chat gateway waited for ever behind an engine that sends events without content, a role only, or no choices: they counted as progress, though the front passes on nothing of them, or nothing that brings the answer on. Content, an end of the answer, or usage count.

--- a/lapiswing/engine/attempt.py
+++ b/lapiswing/engine/attempt.py
@@ -8,7 +8,7 @@
     over, exchange = False, None
     code = remark = report = None
     why = None  # what was wrong with the answer, for the log
-    event_count = 0  # whole events that have come
+    event_count = 0  # whole events that have come and bring the answer on
     received_bytes = 0  # of the answer's body
     kept_bytes = 0  # of the answer, as counted in the budget
 
--- a/lapiswing/engine/client.py
+++ b/lapiswing/engine/client.py
@@ -113,7 +113,7 @@
         """Passes events to the owner. Events before the first one with content are buffered."""
         if not values or self.over:
             return
-        self.event_count += len(values)
+        self.event_count += sum(1 for value in values if has_content(value) or value.get("usage"))
         if not self.begun:
             self.buffered[0].extend(values)
             self.buffered[1].extend(payloads)
--- a/lapiswing/standin/box.py
+++ b/lapiswing/standin/box.py
@@ -86,6 +86,7 @@
     slow: float = 1.0  # factor on the duration of reads and steps
     hang: bool = False  # accepts requests and never answers
     stall: bool = False  # running streams send nothing more
+    filler: bytes = b""  # running streams send only this
     errors: float = 0.0  # fraction of the requests that is answered with 500 at once
     lost: float = 0.0  # fraction of the requests whose connection is reset after the work is done
     reset_at: int = 0  # the connection is reset after this many bytes of a stream
@@ -616,7 +617,10 @@
         if self.listener is None or not self.running:
             self.stepping = False
             return
-        if not self.faults.stall and not self.faults.hang:
+        if self.faults.filler:
+            for job in self.running:
+                job.exchange.send(self.faults.filler)
+        elif not self.faults.stall and not self.faults.hang:
             for job in list(self.running):
                 self.write_token(job)
         self.schedule_step()
