A request that a server has not been given to its end is refused, not failed

A client of a class that must not run twice got 502, which promises nothing, for a request whose server took it too slowly: an attempt whose time ran out counted as one that may have run, also where its last byte was never written. The connection is closed with the rest unsent, so the outcome is 'unreachable' now, and the client is told to come again. Test seen failing: test_a_request_that_was_not_sent_to_its_end_is_refused_rather_than_failed.

--- a/lapiswing/engine/attempt.py
+++ b/lapiswing/engine/attempt.py
@@ -30,6 +30,11 @@
         """Whether the kernel has not been given the whole request yet, so that it can't have run."""
         return not self.over and self.exchange.unsent
 
+    @property
+    def partly_sent(self):
+        """Whether there is a connection that has not taken the whole request."""
+        return self.unsent and self.exchange.connected
+
     def poll(self):
         """Takes what has arrived of the response by now."""
         if not self.over:
--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -598,8 +598,10 @@
     def attempt_timed_out(self, req, rid, number):
         """Cancels an attempt that has not begun to answer within its time."""
         self.poll_attempt(req, rid, number)
-        if req.rid == rid and number != req.answering_no:
-            self.cancel_attempt(req, number, "timed_out")
+        attempt = req.attempts.get(number) if req.rid == rid else None
+        if attempt is not None and number != req.answering_no:
+            # A server that has not been given the whole request can't have run it, nor can it after the connection is closed.
+            self.cancel_attempt(req, number, "unreachable" if attempt.handle.partly_sent else "timed_out")
 
     def check_idle(self, req, rid, number):
         """Cancels a begun stream that has brought no event for too long. While its client takes nothing the time stands still."""
@@ -911,7 +913,7 @@
     """Handle of an attempt that waits for its intent to be recorded."""
 
     report = answer = why = None
-    unsent = True
+    unsent, partly_sent = True, False
 
     def __init__(self, name):
         self.name, self.over = name, False
--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -57,6 +57,11 @@
         if self.conn is not None and not self.over:
             self.conn.stream.read_available()
 
+    @property
+    def connected(self):
+        """Whether there is a connection for it."""
+        return self.conn is not None
+
     @property
     def unsent(self):
         """Whether the kernel has not got the whole request yet. If the exchange ends now the server can't have run it."""
--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -351,7 +351,7 @@
 class UnlistedServerExchange:
     """Stands in for an exchange with a server that has just left the list; fails on the loop's next turn."""
 
-    unsent = True
+    unsent, connected = True, False
 
     def __init__(self, loop, attempt):
         self.attempt = attempt
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -83,7 +83,7 @@
 class PlatformHarness:
     """A gateway, its model servers and discovery. Use: `with PlatformHarness(folder, roles) as harness`."""
 
-    def __init__(self, folder, roles=("read", "write", "write"), sockets=256, loop=None, known=True, log=None):
+    def __init__(self, folder, roles=("read", "write", "write"), sockets=256, loop=None, known=True, log=None, settings=SETTINGS):
         self.loop = loop or Loop(Clock())
         self.platform = Platform(self.loop, roles)
         self.path = folder / "config.json"
@@ -95,7 +95,7 @@
             "seed": "0a5b",
             "limits": {"cores": 0.5, "memory_mb": 64, "sockets": sockets},
             "known": self.platform.discovery.whole() if known else None,
-            "settings": SETTINGS,
+            "settings": settings,
         }
         self.path.write_text(json.dumps(self.config))
         self.log = log or RecordingLog()
