--- a/Makefile
+++ b/Makefile
@@ -14,8 +14,10 @@
 run: setup
 	$(PY) -m lapiswing demo
 
+# The tests of one file stay in one process, one after the other.
+TEST_PROCESSES = 3
 test: setup lint
-	$(PY) -m pytest -q
+	OPENBLAS_NUM_THREADS=1 $(PY) -m pytest -q -n $(TEST_PROCESSES) --dist loadfile
 
 # The linter checks the modules listed in pyproject.toml, the formatter the whole tree.
 lint: setup
