After SIGTERM open connections are closed before the earliest kill

Where the longest deadline is short, clients that used an open connection late got no answer: the connections stayed usable for 2.5 s, while the kill may come at the longest deadline plus 0.7 s, 0.9 s after SIGTERM with a deadline of 0.2 s. What SIGKILL finds unanswered of that is lost. The time follows from the settings' deadlines now, 0.5 s before the kill and 2.5 s at most; half requests are answered then instead of being left to the exit.

--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -494,14 +494,18 @@
                 self.closes[CloseReason.IDLE] += 1
                 conn.stream.close()
 
-    def drain(self):
+    def drain(self, refuse_incomplete=None):
         """Accepts no further requests: idle connections close now, the others after their answer. A request that has been
-        received completely or in part is still answered."""
+        received completely or in part is still answered. `refuse_incomplete`: a reason for which those received in part are
+        refused now."""
         self.closing = True
         for conn in list(self.connections):
             if not conn.busy():
                 self.closes[CloseReason.DRAINED] += 1
                 conn.stream.close()
+            elif refuse_incomplete is not None and conn.phase in ("head", "body") and not conn.stream.closing:
+                self.closes[CloseReason.DRAINED] += 1
+                conn.refuse(503, refuse_incomplete)
 
     def busy(self):
         """Whether any connection has an unfinished request or answer."""
--- a/lapiswing/interface.py
+++ b/lapiswing/interface.py
@@ -55,6 +55,7 @@
     token_target_us: int
     priority: float
     late_priority: float
+    deadline_us: int | None = None  # for which clients usually wait for a first token
 
 
 class Writer(Protocol):
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lapiswing.admission import Repeats
+from lapiswing.admission.shutdown import keep_alive_us
 from lapiswing.errors import CantListen
 from lapiswing.gateway.core import Core
 from lapiswing.http1 import SETTLE_US, Pool, Server
@@ -34,7 +35,6 @@
 FIRST_REQUEST_US = 2200 * MS  # from connecting to a complete request; the platform requires 3 s
 MIN_ANSWER_BUFFER_BYTES, MAX_ANSWER_BUFFER_BYTES = 16384, 65536  # for one client
 ACCEPT_AFTER_STOP_US = 450 * MS  # new connections may still arrive for this long after SIGTERM
-KEEP_ALIVE_AFTER_STOP_US = 2500 * MS  # open connections may be used until then; SIGKILL comes at least 3.7 s after SIGTERM
 # What may be kept for all peers together, as parts of the memory that the process may use.
 UNFINISHED_PART = 8  # incomplete requests
 OPEN_BODIES_PART = 4  # bodies of open requests
@@ -172,6 +172,7 @@
         self.listener = self.discovery = self.reload_timer = self.fault = None
         self.logged_port_wait = False
         self.stopping, self.stopped_us = False, 0
+        self.keep_alive_us = max(ACCEPT_AFTER_STOP_US, keep_alive_us([group.deadline_us for group in settings["groups"]]))
 
     @classmethod
     def load_with_retries(cls, path, log):
@@ -329,7 +330,7 @@
         # closed at once, their clients would connect to other gateways, one of which may just be starting.
         self.server.closing = True
         self.loop.call_later(ACCEPT_AFTER_STOP_US, self.close_port)
-        self.loop.call_later(KEEP_ALIVE_AFTER_STOP_US, self.server.drain)
+        self.loop.call_later(self.keep_alive_us, self.server.drain, "the gateway stops")
 
     def close_port(self):
         """Accepts what has connected by now and closes the port."""
@@ -341,7 +342,7 @@
     def finish(self):
         """Ends the loop once nothing is open any more."""
         # A partly received request is waited for as long as idle connections are: its client sent it nowhere else.
-        grace_over = self.loop.now >= self.stopped_us + KEEP_ALIVE_AFTER_STOP_US
+        grace_over = self.loop.now >= self.stopped_us + self.keep_alive_us
         if (
             self.core.reqs
             or self.servers.releasing
--- a/lapiswing/translation.py
+++ b/lapiswing/translation.py
@@ -57,6 +57,7 @@
             token_targets[i],
             c.get("value", 1.0),
             c.get("late_worth", 0.0),
+            c.get("deadline_us"),
         )
         for i, c in enumerate(classes)
     ]
