What is kept for peers is a part of the memory that the program itself leaves

A gateway with little memory passed its limit and was killed while hundreds of clients wrote large requests slowly: the parts for incomplete requests, open bodies and answers were taken of the whole limit, as if the program itself took nothing. The parts are of what is left at the start now (resident memory from /proc, an eighth of the limit at least).

--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -23,6 +23,7 @@
 from lapiswing.node import view
 from lapiswing.node.discovery import LIST_DECODER, MAX_LIST_BYTES, Discovery, ServerList
 from lapiswing.node.front import Front, retry_after_fields
+from lapiswing.node.memory_parts import MemoryParts, own_bytes
 from lapiswing.node.rate_limited_log import RateLimitedLog
 from lapiswing.node.release_targets import ReleaseTargets
 from lapiswing.node.servers import MAX_BODY_BYTES, Servers
@@ -35,12 +36,6 @@
 FIRST_REQUEST_US = 2200 * MS  # from connecting to a complete request; the platform requires 3 s
 MIN_ANSWER_BUFFER_BYTES, MAX_ANSWER_BUFFER_BYTES = 16384, 65536  # for one client
 ACCEPT_AFTER_STOP_US = 450 * MS  # new connections may still arrive for this long after SIGTERM
-# What may be kept for all peers together, as parts of the memory that the process may use.
-UNFINISHED_PART = 8  # incomplete requests
-OPEN_BODIES_PART = 4  # bodies of open requests
-PIPELINED_PART = 32  # input behind open requests
-SERVER_ANSWERS_PART = 8  # of servers' answers that can't be passed on yet
-CLIENT_ANSWERS_PART = 8  # of answers that clients have not read
 RESERVED_DESCRIPTORS = 24  # for the loop, the listener, logs and discovery
 LISTEN_TIMEOUT_US, LISTEN_RETRY_US = 8000 * MS, 50 * MS  # waits for a port in use; a restart has 10 s to become ready
 RELOAD_ATTEMPTS, RELOAD_RETRY_US = 30, 100 * MS  # to read a changed configuration, which must apply 4 s after the signal
@@ -81,8 +76,8 @@
 class Node:
     """One gateway of the platform."""
 
-    def __init__(self, path, log, loop=None, router=Router):
-        """Raises ConfigError."""
+    def __init__(self, path, log, loop=None, router=Router, own_bytes=own_bytes):
+        """`own_bytes()`: what the program needs for itself. Raises ConfigError."""
         self.path = path
         self.config, settings = configs.load(path)
         clock = loop.clock if loop else Clock()
@@ -94,7 +89,7 @@
         limits, sockets = settings["limits"], min(self.config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         # As many connections to servers as clients usually have open requests, plus some for releases and idle connections.
         server_connections = sockets * 3 // 8
-        memory_bytes = int(self.config.limits.memory_mb * BYTES_PER_MB)
+        memory = MemoryParts(int(self.config.limits.memory_mb * BYTES_PER_MB), own_bytes())
         self.max_clients = sockets - server_connections - RESERVED_DESCRIPTORS
         idle_us = limits.get("conn_idle_us") or 10_000 * MS
         self.pool = Pool(
@@ -108,7 +103,7 @@
             max_body_bytes=MAX_BODY_BYTES,
         )
         self.answer_buffer_bytes = min(
-            max(MIN_ANSWER_BUFFER_BYTES, memory_bytes // CLIENT_ANSWERS_PART // self.max_clients), MAX_ANSWER_BUFFER_BYTES
+            max(MIN_ANSWER_BUFFER_BYTES, memory.client_answers_bytes // self.max_clients), MAX_ANSWER_BUFFER_BYTES
         )
         self.discovery_pool = Pool(self.loop, 4, 1, 60_000 * MS, 1000 * MS, max_body_bytes=MAX_LIST_BYTES)
         report = settings.get("report") or {}
@@ -119,7 +114,7 @@
             bool(report.get("names")),
             ReleaseTargets(settings.get("az", 0), int(self.config.seed, 16)),
             settings["family_info"].get("let_go_by_us"),
-            memory_bytes // SERVER_ANSWERS_PART,
+            memory.server_answers_bytes,
         )
         margin_us = settings.get("resolution_us") or MS
         self.core = Core(
@@ -131,7 +126,7 @@
                 CoreLimits(
                     margin_us / MS,
                     self.max_clients,
-                    memory_bytes // OPEN_BODIES_PART,
+                    memory.open_bodies_bytes,
                     (limits.get("max_retry_after_us") or 0) // MS,
                 ),
                 [Group() for _ in settings["groups"]],
@@ -163,8 +158,8 @@
                 HEAD_BYTES + MAX_BODY_BYTES,
                 connections=self.max_clients,
                 first_request_us=FIRST_REQUEST_US,
-                all_pipelined_bytes=min(HttpLimits.all_pipelined_bytes, memory_bytes // PIPELINED_PART),
-                all_unfinished_bytes=max(HEAD_BYTES + MAX_BODY_BYTES, memory_bytes // UNFINISHED_PART),
+                all_pipelined_bytes=min(HttpLimits.all_pipelined_bytes, memory.pipelined_bytes),
+                all_unfinished_bytes=max(HEAD_BYTES + MAX_BODY_BYTES, memory.unfinished_bytes),
             ),
         )
         self.server.on_limit = self.log_input_limit
--- a/tests/platform_harness.py
+++ b/tests/platform_harness.py
@@ -68,6 +68,9 @@
 }
 
 
+OWN_BYTES = 0  # the gateway is part of the test's process, whose memory says nothing about it
+
+
 class RecordingLog:
     """A log that collects (event, fields)."""
 
@@ -99,7 +102,7 @@
         }
         self.path.write_text(json.dumps(self.config))
         self.log = log or RecordingLog()
-        self.node = Node(str(self.path), self.log, self.loop)
+        self.node = Node(str(self.path), self.log, self.loop, own_bytes=lambda: OWN_BYTES)
         self.node.start()
         self.core = self.node.core
         assert self.loop.run_until(lambda: self.node.server_list.rows)
