A connection that was cut off for too much input is freed at once

Memory of a gateway grew by about a megabyte a second while one client sent small chunked requests at full speed (41 to 65 MB in 25 s), since each connection that was cut off stayed in memory until the garbage collector ran, which is rarely: RefusedRequests kept the exception that ended it, whose traceback holds the frames and so the connection with 272 KB. Found by weak references and a look for referrers. The exception is kept without its frames, and a closed connection drops its buffers. Seen failing: the floods of small chunks (4.5 MB in 2 s) and test_a_connection_cut_off_for_too_much_input_is_freed_without_the_garbage_collector.

--- a/lapiswing/http1/refused_requests.py
+++ b/lapiswing/http1/refused_requests.py
@@ -66,6 +66,7 @@
 
     def fail(self, problem):
         """Takes no more requests."""
+        problem.__traceback__ = None  # its frames hold the connection and what it keeps
         self.problem, self.body_left, self.decoder = problem, 0, None
         self.rest.clear()
 
--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -360,7 +360,8 @@
     def on_closed(self, why):
         self.server.connection_closed(self)
         exchange, self.current = self.current, None
-        self.incoming = self.decoder = None
+        self.incoming = self.decoder = self.refused_requests = None
+        self.buffer.clear()
         self.update_account()
         if exchange is not None and not exchange.over:
             exchange.over, left = True, exchange.on_left
