Names that clients choose take a bounded part of the memory

Memory grew without end while one client sent requests under ever new names (41 to 61 MB in 25 s at 9 KB a name): each server's table of what it has cached kept up to 2,000 conversations and prefixes of any length, whatever the number of servers. Long names are replaced by a digest that all gateways share, in both fronts, and the tables hold 20,000 names over all servers.

--- a/lapiswing/gateway/fronts/mapping.py
+++ b/lapiswing/gateway/fronts/mapping.py
@@ -6,6 +6,7 @@
 
 from lapiswing.chat import InvalidCall, estimate_prompt_tokens
 from lapiswing.gateway.core import Spec
+from lapiswing.routing.names import bounded_name
 
 MS = 1000
 MAX_DEADLINE_MS = 3_600_000
@@ -81,7 +82,7 @@
         prefix_texts = call.texts[: self.prefix_messages] if len(call.texts) > self.prefix_messages else []
         session = header(self.session_header)
         if session:
-            session = f"{tenant}/{session.decode('latin-1')}"
+            session = bounded_name(f"{tenant}/{session.decode('latin-1')}")
         else:
             # Each call of a conversation repeats all earlier messages, so its beginning, up to the first message of the
             # user, identifies the conversation.
--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -26,6 +26,7 @@
     SESSION,
 )
 from lapiswing.node.servers import ClientRequest
+from lapiswing.routing.names import bounded_name
 
 RID = re.compile(rb"[0-9A-Za-z._~-]{1,64}")
 SESSION_KEY = re.compile(rb"[\x21-\x7e]{1,256}")
@@ -141,8 +142,8 @@
             request,
             tokens,
             expires_us,
-            session.decode() if session else None,
-            extra.get(PREFIX),
+            bounded_name(session.decode()) if session else None,
+            bounded_name(extra.get(PREFIX)),
             extra.get(PREFIX_TOKENS, 0),
             extra.get(MAX_OUT, 0),
             None,
--- a/lapiswing/policy.py
+++ b/lapiswing/policy.py
@@ -45,6 +45,9 @@
 COLD_AFFINITY_FACTOR = 2
 COLD_POPULAR_INCREASE = 0.1  # a popular prefix is spread so that it adds at most this part to any cold reader's admission
 COLD_PROMPT_ALLOWANCE = 1.5  # factor on the allowance for random variation that one prompt may use where no server is warm
+# Conversations and prefixes that are known to be cached, over all servers and at one of many: they cost memory, and clients may
+# send ever new ones.
+MAX_CACHED_NAMES, MIN_CACHED_NAMES = 20_000, 16
 BURST_HALF_LIFE_US = 1000 * MS  # of the count of own requests that reveals a burst
 RETRY_BITS = 2 | 16  # flags of a request that its client has sent before
 MIN_READS_PER_READER = 0.5  # own recent reads per prefill server needed to tell a late attempt from general congestion
@@ -478,7 +481,7 @@
             left = max(-self.quota[req.tenant] - 2, self.remaining_quota(req.tenant) - 1)
             self.quota_left[req.tenant] = left, self.refreshed_us
         cached, req.uncached_tokens = reader.cached_prefixes, max(1, req.tokens - self.cached_tokens(req, reader))
-        if len(cached) > 2000:
+        if len(cached) > max(MIN_CACHED_NAMES, MAX_CACHED_NAMES // len(self.servers)):
             cached.clear()
         cached.update({req.prefix: req.prefix_tokens, req.session: req.tokens})
         cached.pop(None, None)
--- a/tests/test_client_flood.py
+++ b/tests/test_client_flood.py
@@ -9,7 +9,10 @@
 
 import pytest
 from gateway_process import GatewayProgram
-from platform_harness import PlatformHarness, head
+from platform_harness import BODY, PlatformHarness, head
+
+from lapiswing import policy
+from lapiswing.routing.names import MAX_NAME_CHARACTERS, bounded_name
 
 MS, S = 1000, 1_000_000  # in microseconds
 FLOOD_US = 4 * S
@@ -108,3 +111,23 @@
             assert reference() is None
         finally:
             gc.enable()
+
+
+def test_names_of_clients_are_kept_short_and_only_so_many(tmp_path, monkeypatch):
+    monkeypatch.setattr(policy, "MAX_CACHED_NAMES", 64)
+    with PlatformHarness(tmp_path, ("both", "both")) as harness:
+        client = harness.client()
+        for number in range(60):
+            client.got = b""
+            name = f"{number}".ljust(200, "n")
+            client.send(head(f"a{number}", Req_Key=name, Req_Extra=f"prefix={name * 40},prompt_len=100") + BODY)
+            assert client.wait_answer().status == 200
+        kept = [name for server in harness.core.router.servers.values() for name in server.cached_prefixes]
+        assert len(kept) <= 64 + 2 * 2 and max(map(len, kept)) <= MAX_NAME_CHARACTERS
+
+
+def test_long_names_stay_apart_and_short_ones_as_they_are():
+    assert bounded_name("k1") == "k1" and bounded_name(None) is None
+    long = ["a" * 65, "a" * 66, "a" * 64 + "b"]
+    assert len({bounded_name(name) for name in long}) == 3
+    assert bounded_name(long[0]) == bounded_name(long[0])
