--- a/lapiswing/gateway/core.py
+++ b/lapiswing/gateway/core.py
@@ -22,6 +22,7 @@
 import orjson
 
 from lapiswing.admission.caps import Caps
+from lapiswing.admission.recent_ids import RecentIds
 from lapiswing.chat import Assembler
 from lapiswing.gateway import resume
 from lapiswing.gateway.guards import NEVER_RAN, Guards, History
@@ -140,6 +141,7 @@
         }
         self.memory = memory or Memory(None, None, None)
         self.tally, self.caps, self.on_change = Tally(), Caps(), None
+        self.recent_ids = RecentIds()  # of requests that must not run again
         self.round_us = self.rounds = 0
         grace_us = (router_settings.get("rules") or {}).get("stop_sending_within_us") or DEFAULT_DRAIN_GRACE_US
         self.guards = Guards(self.request_classes, grace_us, router_settings["limits"].get("second_copies", True), log)
@@ -753,6 +755,8 @@
             return False
         req.over = True
         req.backstop_timer.cancel()
+        if req.guard_history.may_have_run and self.request_classes[req.spec.group].effect != "replayable":
+            self.recent_ids.add(req.rid)
         now = self.loop.clock.now_us()
         self.open -= 1
         tenant = self.tally.tenant(req.spec.tenant)
--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -131,6 +131,8 @@
         rid_text = rid.decode()
         if rid_text in self.core.reqs:
             raise RequestError("a request with this id is already open", 409)
+        if rid_text in self.core.recent_ids:
+            raise RequestError("a request with this id may have run", 409)
         # The client's deadline counts from the first byte of its request, including the time spent in our buffers.
         expires_us = exchange.arrived_us + deadline_us
         tokens = extra.get(PROMPT) or max(1, len(exchange.body) // BYTES_PER_TOKEN)
