Nothing is sent for a client that left behind megabytes that are still unread

It reads all that has come now; a connection bounds that itself (4 MB, then it is cut off). A look at a server reads as much as a turn does.

--- a/lapiswing/http1/client.py
+++ b/lapiswing/http1/client.py
@@ -53,9 +53,9 @@
             self.conn.stream.resume()
 
     def poll(self):
-        """Takes what has arrived by now, without waiting for the loop's next turn."""
+        """Takes what has arrived by now, as much as in one turn of the loop, without waiting for the next turn."""
         if self.conn is not None and not self.over:
-            self.conn.stream.read_available()
+            self.conn.stream.read()
 
     @property
     def connected(self):
--- a/lapiswing/loop/stream.py
+++ b/lapiswing/loop/stream.py
@@ -149,12 +149,12 @@
                 return
 
     def read_available(self):
-        """Reads everything that has arrived by now, including the end, without waiting for the loop's next turn."""
-        for _ in range(self.turns):
+        """Reads everything that has arrived by now, including the end, without waiting for the loop's next turn. The owner bounds
+        it: by pausing, or by closing a stream that brings too much."""
+        before = None
+        while not self.closed and not self.ended and self.reading and self.received != before:
             before = self.received
             self.read()
-            if self.closed or self.ended or not self.reading or self.received == before:
-                return
 
     def pending(self):
         """Whether unread bytes or an unread end have arrived."""
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,8 +1,10 @@
 """Once a client has closed its connection, no further attempt is made for its request, whatever stage it is in."""
 
+import itertools
 import json
 import socket
 import struct
+import time
 
 import pytest
 from platform_harness import BODY, SETTINGS, PlatformHarness, head
@@ -56,6 +58,41 @@
     harness.wait_settled()
 
 
+def send_until_blocked(client, requests):
+    """Sends as much as the kernel takes while the gateway reads nothing. -> the number of bytes."""
+    sent = 0
+    unsent = memoryview(b"")
+    try:
+        while True:
+            unsent = unsent or memoryview(next(requests))
+            size = client.sock.send(unsent)
+            unsent, sent = unsent[size:], sent + size
+    except BlockingIOError:
+        return sent
+
+
+LARGE = json.dumps({"messages": [{"role": "user", "content": "x" * 60_000}]}).encode()
+
+
+@pytest.mark.parametrize("closing", ["FIN", "RST"])
+@pytest.mark.parametrize("body", [BODY, LARGE], ids=["small requests", "large requests"])
+@pytest.mark.parametrize("used", [True, False], ids=["used connection", "new connection"])
+def test_nothing_is_sent_for_a_client_that_left_with_megabytes_unread(tmp_path, used, body, closing):
+    """The gateway was held up while they came; the client's leaving shows only behind all of them."""
+    with PlatformHarness(tmp_path, ("both",)) as harness:
+        client = harness.client()
+        if used:
+            client.send(head("a0") + BODY)
+            client.wait_answer()
+        already = len(attempts(harness))
+        assert send_until_blocked(client, (head(f"b{i}", body) + body for i in itertools.count())) > 1 << 20
+        CLOSINGS[closing](client)
+        time.sleep(0.15)
+        harness.loop.run_until(lambda: False, 400 * MS)
+        assert len(attempts(harness)) == already
+        harness.wait_settled()
+
+
 class LateConnect(http1_client.connect):
     """A connection that is established late."""
 
