A list that discovery writes slowly is heard

A gateway never heard a list whose answer took 4.5 s to be written, and so no drain: each call was given up for later ones that came no faster (the oldest of three late calls was cancelled). The late call that has brought the least goes now.

--- a/lapiswing/node/discovery.py
+++ b/lapiswing/node/discovery.py
@@ -204,11 +204,18 @@
             coming = call.size >= MIN_PROGRESS_BYTES and self.grace_us < MAX_ANSWER_GRACE_US
             self.call = None
             self.late_calls.append(call)
-            if len(self.late_calls) > MAX_LATE_CALLS:
-                self.late_calls.pop(0).cancel()
+            self.cancel_excess_call()
             self.retry("no answer in time")
             self.grace_us = 2 * self.grace_us if coming else self.default_grace_us
 
+    def cancel_excess_call(self):
+        """Cancels one late call if there are too many: the one that has brought the least, and of several the oldest. A call
+        whose list comes slowly goes on, as a later one would come no faster."""
+        if len(self.late_calls) > MAX_LATE_CALLS:
+            call = min(self.late_calls, key=lambda late: late.size)
+            call.cancel()
+            self.late_calls.remove(call)
+
     def failed(self, call, why, rejected=False):
         """A call has failed. `rejected`: discovery answered that it is overloaded."""
         if call in self.late_calls:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -236,6 +236,29 @@
     scenario.loop.close()
 
 
+@pytest.mark.parametrize("pieces", [10, 45])
+def test_a_list_that_is_written_slowly_is_not_cut(monkeypatch, pieces):
+    """Each call was given up for a later one, which came no faster: the list was never heard."""
+    scenario = Scenario()
+    took_us = 4500 * MS
+
+    def write_slowly(exchange, what):
+        exchange.handler.on_head(200, [])
+        body = exchange.answer()
+        size = -(-len(body) // pieces)
+        for number in range(pieces):
+            exchange.later(took_us * number // pieces, exchange.handler.on_body, body[number * size : (number + 1) * size])
+        exchange.later(took_us, exchange.handler.on_end)
+
+    monkeypatch.setattr(Call, "play", write_slowly)
+    scenario.discovery.change_address(("127.0.0.1", 2))
+    scenario.pool.index, scenario.pool.mode = 2, "DRAINING"
+    assert scenario.until(lambda: scenario.server_list.rows["s-1"].mode == "draining", DUE_US + took_us)
+    assert len(scenario.pool.open_calls) <= 1 + MAX_LATE_CALLS
+    scenario.discovery.stop()
+    scenario.loop.close()
+
+
 def test_one_watch_is_open_again_once_discovery_is_quick():
     scenario = Scenario()
     scenario.pool.slow_us = 2200 * MS
