A request body that goes on coming is waited for

A client that wrote its request slowly got 408 after 2.2 s, the time meant for clients that stop in the middle.

--- a/lapiswing/http1/server.py
+++ b/lapiswing/http1/server.py
@@ -325,6 +325,15 @@
         if phase != self.phase:
             self.phase, self.phase_since_us = phase, self.server.loop.now
 
+    def body_is_coming(self, now):
+        """Whether a body is received slowly, but without a long pause."""
+        limits = self.server.limits
+        return (
+            self.phase == "body"
+            and now - self.stream.last_received_us <= limits.body_pause_us
+            and now - self.phase_since_us <= limits.slow_body_us
+        )
+
     def check_timeouts(self, now):
         """Called periodically by the server."""
         limits, elapsed_us = self.server.limits, now - self.phase_since_us
@@ -337,6 +346,8 @@
         if self.stream.unsent_bytes and now - self.stream.last_sent_us > limits.stall_us:
             self.server.closes[CloseReason.NOT_READ] += 1
             return self.stream.abort()
+        if self.body_is_coming(now):
+            return
         if not self.served and limits.first_request_us is not None and now - self.opened_us > limits.first_request_us:
             self.server.closes[CloseReason.NO_REQUEST] += 1
             if self.stream.closing or self.phase == "idle" or self.current is not None:
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -35,6 +35,7 @@
 HEAD_BYTES = 16384
 FIRST_REQUEST_US = 2200 * MS  # from connecting to a complete request; the platform requires 3 s
 MIN_ANSWER_BUFFER_BYTES, MAX_ANSWER_BUFFER_BYTES = 16384, 65536  # for one client
+SLOW_BODY_US = 10_000 * MS  # for a body that goes on coming
 ACCEPT_AFTER_STOP_US = 450 * MS  # new connections may still arrive for this long after SIGTERM
 RESERVED_DESCRIPTORS = 24  # for the loop, the listener, logs and discovery
 LISTEN_TIMEOUT_US, LISTEN_RETRY_US = 8000 * MS, 50 * MS  # waits for a port in use; a restart has 10 s to become ready
@@ -76,7 +77,7 @@
 class Node:
     """One gateway of the platform."""
 
-    def __init__(self, path, log, loop=None, router=Router, own_bytes=own_bytes):
+    def __init__(self, path, log, loop=None, router=Router, *, own_bytes=own_bytes):
         """`own_bytes()`: what the program needs for itself. Raises ConfigError."""
         self.path = path
         self.config, settings = configs.load(path)
@@ -156,6 +157,7 @@
                 120_000 * MS,
                 10_000 * MS,
                 HEAD_BYTES + MAX_BODY_BYTES,
+                slow_body_us=SLOW_BODY_US,
                 connections=self.max_clients,
                 first_request_us=FIRST_REQUEST_US,
                 all_pipelined_bytes=min(HttpLimits.all_pipelined_bytes, memory.pipelined_bytes),
