The soak spoils and slows streams, sends signals in series, and has crowds

The oracle looks for clients left waiting behind a stream's last event, for streams that were cut although their server wrote (it took any unfinished stream for a broken one), and for requests that came over 0.7 s after SIGTERM and were killed unanswered (it excused all that were open at a kill).

--- a/lapiswing/lab/soak/clients.py
+++ b/lapiswing/lab/soak/clients.py
@@ -14,6 +14,51 @@
 NEW_CONNECTIONS_AFTER_TERM_US = 300 * MS  # the platform still sends new connections to a gateway this long after SIGTERM
 
 
+CROWD_OF_GATEWAY = 60
+CROWD_STEP_US = 250 * MS
+HALF_HEAD = b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+LONG_BODY_HEAD = HALF_HEAD + b"Content-Length: 200000\r\n\r\n"
+# (bytes sent at once, bytes sent at each step) of requests that never become complete
+CROWD_FORMS = (
+    (b"", b""),
+    (LONG_BODY_HEAD + b"x" * 150_000, b""),
+    (LONG_BODY_HEAD, b"x" * 500),
+    (HALF_HEAD + b"".join(b"a%d:\r\n" % number for number in range(120)), b""),
+    (HALF_HEAD, b"a: b\r\n"),
+)
+
+
+class SlowClient:
+    """A client that never completes its request. Reads nothing, and connects again when it was closed."""
+
+    def __init__(self, gateway, form):
+        self.gateway, self.form, self.sock = gateway, form, None
+
+    def step(self):
+        """Connects, or sends a little more."""
+        try:
+            if self.sock is None:
+                self.sock = socket.socket()
+                self.sock.setblocking(False)
+                self.sock.connect_ex(self.gateway.address)
+                self.unsent = memoryview(self.form[0])
+                return
+            self.unsent = self.unsent or memoryview(self.form[1])
+            if self.unsent:
+                self.unsent = self.unsent[self.sock.send(self.unsent) :]
+            if not self.sock.recv(1):
+                self.close()
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.close()
+
+    def close(self):
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+
 class AnswerListener:
     """Records the answer of one call."""
 
@@ -57,6 +102,7 @@
         self.pools = [Pool(loop, 200, 40, 3 * S, 500 * MS) for _ in gateways]
         self.call_count, self.idle_sockets, self.running = 0, [], True
         self.open_listeners = set()
+        self.standing_crowd = []
 
     def start(self):
         self.loop.call_later(int(self.rng.expovariate(self.calls_per_s) * S), self.arrive)
@@ -89,7 +135,7 @@
         """Draws a call, sends it, and for some calls schedules that the client disconnects."""
         self.call_count += 1
         name = self.rng.choice(["chat", "chat", "order", "pay"])
-        patience_us = self.rng.choice((60, 150, 400, 1200, 3000, 3000, 3000)) * MS
+        patience_us = int(min(self.rng.choice((60, 150, 400, 1200, 3000, 3000, 3000)), self.day.deadline_ms) * MS)
         call = Call(
             f"q{self.day.seed}.{self.call_count}", gateway.number, CLASS_EFFECTS[name], patience_us, self.loop.clock.now_us()
         )
@@ -166,6 +212,20 @@
             self.loop.call_later(20 * MS, self.send_bytes, sock, payloads[i % 3])
         self.loop.call_later(duration_us, self.close_idle_sockets)
 
+    def start_standing_crowd(self):
+        """Connects clients that stop, or go slowly, and come again whenever they are closed."""
+        for gateway in self.gateways:
+            for number in range(CROWD_OF_GATEWAY):
+                self.standing_crowd.append(SlowClient(gateway, CROWD_FORMS[number % len(CROWD_FORMS)]))
+        self.loop.call_later(CROWD_STEP_US, self.step_crowd)
+
+    def step_crowd(self):
+        """Has each of them send a little more."""
+        if self.running:
+            for client in self.standing_crowd:
+                client.step()
+            self.loop.call_later(CROWD_STEP_US, self.step_crowd)
+
     @staticmethod
     def send_bytes(sock, data):
         try:
@@ -181,5 +241,7 @@
 
     def close(self):
         self.close_idle_sockets()
+        for client in self.standing_crowd:
+            client.close()
         for pool in self.pools:
             pool.close()
--- a/lapiswing/lab/soak/day.py
+++ b/lapiswing/lab/soak/day.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from lapiswing.lab.soak.clients import Clients
+from lapiswing.lab.soak.fleet_settings import DEADLINES_MS
 from lapiswing.lab.soak.platform import Agent, SoakPlatform
 from lapiswing.lab.soak.process import RELOAD_COUNTS_AFTER_US, GatewayProcess
 from lapiswing.lab.soak.records import Day
@@ -20,8 +21,10 @@
 STARTUP_LIMIT_S, SETTLE_LIMIT_S = 30, 5
 CALLS_PER_S_PER_GATEWAY = 6
 FIRST_PORT, PORTS_PER_DAY, PARALLEL_DAYS = 10_000, 40, 500
+CROWDED_EVERY = 5  # days
 CPU_WAIT_POLL_US, MIN_CPU_WAIT_US = 50 * MS, 2 * MS  # shorter waits are not recorded
 FREEZE_US = 120 * MS
+SIGNAL_PAUSE_US = 40 * MS  # between the signals of a series
 ERRNOS = (
     ("accept", errno.ECONNABORTED),
     ("accept", errno.ENFILE),
@@ -48,7 +51,8 @@
 
     def __init__(self, seed, seconds, gateways, folder):
         self.seed, self.seconds, self.rng = seed, seconds, Random(seed + 1)
-        self.loop, self.day = Loop(Clock()), Day(seed)
+        self.loop = Loop(Clock())
+        self.day = Day(seed, DEADLINES_MS[seed % len(DEADLINES_MS)], seed % CROWDED_EVERY == 0)
         self.platform = SoakPlatform(self.loop, ROLES, gateways, self.day, self.rng)
         ports = ports_of(seed, gateways)
         self.gateways = [
@@ -83,6 +87,8 @@
                 gateway.start()
             self.loop.run_until(lambda: all(g.run.ready_us for g in self.gateways), STARTUP_LIMIT_S * S)
             self.clients.start()
+            if self.day.crowded:
+                self.clients.start_standing_crowd()
             begin = self.loop.clock.now_us()
             for trouble in draw(self.seed, self.seconds):
                 self.day.troubles.append((begin + trouble.at_us, trouble))
@@ -136,6 +142,24 @@
             gateway = self.gateways[(trouble.target + i) % len(self.gateways)]
             self.loop.call_later(int(trouble.variant * 500) * MS * i, gateway.term, partial(self.start, gateway))
 
+    def signal_series(self, trouble):
+        gateway = self.gateway(trouble)
+        if not gateway.alive() or gateway.run.term_us is not None or gateway.run.ready_us is None:
+            return
+        if trouble.variant < 0.5:
+            gateway.reload()
+            gateway.signal_process(signal.SIGHUP)
+        gateway.term(partial(self.start, gateway))
+        series = (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        for position, number in enumerate(series[: 2 + int(trouble.variant * 4)], 1):
+            self.loop.call_later(position * SIGNAL_PAUSE_US, self.signal_run, gateway, gateway.run, number)
+
+    @staticmethod
+    def signal_run(gateway, run, number):
+        """Sends a signal to the process of `run`, if it still runs."""
+        if gateway.run is run:
+            gateway.signal_process(number)
+
     def log_stuck(self, trouble):
         self.gateway(trouble).stop_reading_log(trouble.duration_us)
 
@@ -243,11 +267,21 @@
         server.record_outage(trouble.duration_us + 6 * S)
         self.loop.call_later(trouble.duration_us, setattr, server, "mode", None)
 
-    def server_errors(self, trouble):
+    def streams_spoilt(self, trouble):
+        self.set_mode(trouble, "spoilt")
+
+    def streams_slow(self, trouble):
+        self.set_mode(trouble, "slow")
+
+    def set_mode(self, trouble, mode):
+        """Sets the fault mode of a server for the time of the trouble."""
         server = self.server(trouble)
-        server.mode = "errors"
+        server.mode = mode
         self.loop.call_later(trouble.duration_us, setattr, server, "mode", None)
 
+    def server_errors(self, trouble):
+        self.set_mode(trouble, "errors")
+
     def server_crash(self, trouble):
         server = self.server(trouble)
         if server.relay.listener.closed:
--- a/lapiswing/lab/soak/fleet_settings.py
+++ b/lapiswing/lab/soak/fleet_settings.py
@@ -4,17 +4,18 @@
 
 CLASS_EFFECTS = {"chat": "retryable", "order": "dedup", "pay": "fragile"}  # request class -> effect
 REPEAT_WINDOW_MS = 1500.0
+DEADLINES_MS = (3000.0, 3000.0, 1500.0, 500.0)  # the longest of a day's clients, by seed
 DRAIN_GRACE_MS, RELEASE_MS, SLOW_START_MS = 1000.0, 500.0, 6000.0
 
 
-def settings(number, gateways, second_copies, subscribed):
+def settings(number, gateways, second_copies, subscribed, deadline_ms):
     """Settings of gateway `number`. `subscribed`: whether the gateway has to subscribe to receive server list updates."""
     classes = [
         {
             "Name": name,
             "Effect": effect,
             "Group": "all",
-            "DeadlineMs": 3000.0,
+            "DeadlineMs": deadline_ms,
             "OnTimeMs": 1200.0,
             "LateWorth": 0.3,
             "MemorySpanMs": REPEAT_WINDOW_MS,
@@ -71,7 +72,7 @@
     }
 
 
-def configuration(number, gateways, port, discovery, seed, known, second_copies, subscribed, sockets):
+def configuration(number, gateways, port, discovery, seed, known, second_copies, subscribed, sockets, deadline_ms):
     """Text of the configuration file (RELAY_CONFIG) of gateway `number`."""
     return json.dumps(
         {
@@ -81,6 +82,6 @@
             "seed": f"{seed:x}",
             "known": known,
             "limits": {"cores": 0.5, "memory_mb": 128, "sockets": sockets},
-            "settings": settings(number, gateways, second_copies, subscribed),
+            "settings": settings(number, gateways, second_copies, subscribed, deadline_ms),
         }
     )
--- a/lapiswing/lab/soak/oracle.py
+++ b/lapiswing/lab/soak/oracle.py
@@ -18,6 +18,9 @@
 CPU_WAIT_SAMPLE_US = 100 * MS  # a CPU wait may be recorded this much later
 NEW_CONNECTIONS_AFTER_TERM_US = 400 * MS  # the platform sends new connections no longer than this after SIGTERM
 MAX_STREAM_END_DELAY_US = 1 * S  # within this the end of a stream is passed on
+CLIENT_WAIT_US = 5 * S  # behind the last event of a stream
+MIN_SILENCE_US = 4500 * MS  # a shorter silence is no reason to cut a stream
+ANSWERED_AFTER_TERM_US = 700 * MS  # a request that comes later after SIGTERM is answered before SIGKILL
 MAX_EVENT_DELAY_US = 300 * MS
 MAX_IDLE_DESCRIPTORS = 120  # open descriptors of an idle process
 
@@ -81,8 +84,10 @@
 
     def check_answer(self, call):
         """Rule 1: exactly one final answer, in time."""
-        if call.client_left_us is not None or self.killed_during(call) and call.final_answers == 0:
+        if call.client_left_us is not None:
             return []
+        if self.killed_during(call) and call.final_answers == 0:
+            return self.check_killed_after_term(call)
         took_ms = ((call.end_us or 0) - call.sent_us) // MS
         details = f"status {call.status} failed {call.failed} after {took_ms} ms of {call.deadline_us // MS}"
         run = self.run_of(call)
@@ -95,6 +100,9 @@
             return []  # the gateway did not accept it
         if call.final_answers > 1:
             return [Violation("answered", call.rid, f"{call.final_answers} answers")]
+        left_waiting = self.check_left_waiting(call)
+        if left_waiting:
+            return left_waiting
         if call.failed == "body":
             return (
                 []
@@ -120,14 +128,44 @@
         )
 
     def stream_broke(self, call):
-        """Whether a server's stream for the call ended early or stalled."""
+        """Whether a server's stream for the call ended early, was spoilt, or brought nothing for long."""
         for attempt in self.attempts[call.rid]:
-            if attempt.sent and attempt.completed_us is None:
+            if attempt.spoilt_us is not None:
+                return True
+            if attempt.event_ends and attempt.completed_us is None and self.silence_us(call, attempt) >= MIN_SILENCE_US:
                 return True
             if any(a <= (call.end_us or 0) <= b + S for a, b in self.day.outages_us.get(attempt.server, ())):
                 return True
         return False
 
+    @staticmethod
+    def silence_us(call, attempt):
+        """For how long the client had waited behind the last event of an attempt when its answer ended."""
+        end_us = call.end_us or 0
+        return end_us - max((at_us for at_us, _ in attempt.event_ends if at_us <= end_us), default=end_us)
+
+    def check_left_waiting(self, call):
+        """A client whose stream has begun is not left waiting for long behind the last event of a running server."""
+        if call.status != 200 or call.final_answers:
+            return []
+        for attempt in self.attempts[call.rid]:
+            if not attempt.event_ends or not bytes(attempt.sent).startswith(bytes(call.body[: attempt.event_ends[0][1]])):
+                continue
+            waited_us = self.silence_us(call, attempt)
+            if waited_us > CLIENT_WAIT_US + self.slack_us and not self.in_outage(attempt):
+                return [Violation("left waiting", call.rid, f"{waited_us // MS} ms behind the last event of {attempt.server}")]
+        return []
+
+    def check_killed_after_term(self, call):
+        """A request that came well after SIGTERM is answered before the kill."""
+        run = self.run_of(call)
+        if run is None or run.term_us is None or call.failed in ("connect", "unsent", "away", "local"):
+            return []
+        after_us = call.sent_us - run.term_us
+        if after_us <= ANSWERED_AFTER_TERM_US + self.slack_us or self.sent_too_late(call, run):
+            return []
+        return [Violation("lost", call.rid, f"sent {after_us // MS} ms after SIGTERM and killed unanswered")]
+
     def check_stream(self, call):
         """A successful answer is exactly one server's stream, passed on without delay."""
         if call.head_us > call.sent_us + call.deadline_us + MAX_LATE_US + self.slack_us:
--- a/lapiswing/lab/soak/platform.py
+++ b/lapiswing/lab/soak/platform.py
@@ -4,7 +4,8 @@
 import selectors
 import socket
 
-from lapiswing.lab.soak.records import Attempt, State, UnavailableReport
+from lapiswing.lab.soak.records import Attempt, State, StreamFault, UnavailableReport
+from lapiswing.lab.soak.stream_faults import PAUSES_US, SPOILT_FORMS, write_slowly, write_spoilt
 from lapiswing.loop import Listener, listen_socket
 from lapiswing.loop.net import BACKLOG
 from lapiswing.standin.platform import Discovery, ModelServer, Platform
@@ -15,7 +16,8 @@
 
 
 class SoakServer(ModelServer):
-    """A model server behind a relay that can hold or cut its connections. `mode` is None, "hang" or "errors"."""
+    """A model server behind a relay that can hold or cut its connections. `mode` is None, "hang", "errors", "spoilt"
+    or "slow"; of the last two a stream has one event that it replaces or writes slowly."""
 
     def __init__(self, platform, name, role, zone="a", group=0):
         super().__init__(platform, name, role, zone, group)
@@ -104,6 +106,10 @@
             return self.end_attempt(attempt)
         if self.mode == "hang":
             return self.platform.loop.call_later(100 * MS, self.step, exchange, number)
+        if number == 0 and self.mode in ("spoilt", "slow"):
+            attempt.stream_fault = StreamFault(self.mode, self.platform.rng.randrange(min(self.events, 4)))
+        if attempt.stream_fault is not None and attempt.stream_fault.at == number:
+            return self.apply_stream_fault(exchange, attempt, number)
         data = self.event(number) if number < self.events else self.whole()[self.size_of_events() :]
         attempt.sent += data
         attempt.event_ends.append((self.now, len(attempt.sent)))
@@ -112,6 +118,31 @@
             attempt.completed_us = self.now
             self.end_attempt(attempt)
 
+    def apply_stream_fault(self, exchange, attempt, number):
+        """Spoils the stream from this event on, or writes this event slowly."""
+        loop, rng = self.platform.loop, self.platform.rng
+        exchange.on_left = lambda: (self.end_attempt(attempt), self.gone())
+        if number == 0:
+            exchange.begin(200, [(b"content-type", b"text/event-stream")])
+        if attempt.stream_fault.mode == "spoilt":
+            attempt.spoilt_us = self.now
+            return write_spoilt(loop, exchange, rng.choice(SPOILT_FORMS))
+        data = self.event(number)
+        write_slowly(
+            loop,
+            exchange,
+            data,
+            rng.randrange(len(data)),
+            rng.choice(PAUSES_US),
+            lambda: self.event_written(exchange, attempt, number, data),
+        )
+
+    def event_written(self, exchange, attempt, number, data):
+        """An event that was written slowly is complete: the stream goes on."""
+        attempt.sent += data
+        attempt.event_ends.append((self.now, len(attempt.sent)))
+        self.platform.loop.call_later(self.pause_us, self.step, exchange, number + 1)
+
     def size_of_events(self):
         return sum(len(self.event(i)) for i in range(self.events))
 
--- a/lapiswing/lab/soak/process.py
+++ b/lapiswing/lab/soak/process.py
@@ -7,13 +7,13 @@
 import sys
 from pathlib import Path
 
+from lapiswing.admission.shutdown import earliest_kill_us
 from lapiswing.http1 import Pool
 from lapiswing.lab.soak import fleet_settings
 from lapiswing.lab.soak.records import Process
 from lapiswing.lab.status import StatusOnly
 
 MS, S = 1000, 1_000_000  # in microseconds
-TERM_TO_KILL_US = 3700 * MS  # the platform sends SIGKILL this long after SIGTERM
 READY_POLL_US = 20 * MS
 SOCKET_LIMIT = 256
 RELOAD_COUNTS_AFTER_US = 4 * S  # from SIGHUP until what the new agent has counts as reported, by the platform's page
@@ -47,6 +47,7 @@
             self.second_copies,
             self.subscribed,
             SOCKET_LIMIT,
+            self.day.deadline_ms,
         )
         self.config_file.write_text(text if complete else text[: len(text) // 3])
 
@@ -115,12 +116,12 @@
             return False
 
     def term(self, then=None):
-        """Sends SIGTERM, and SIGKILL after TERM_TO_KILL_US; then calls `then`."""
+        """Sends SIGTERM, and SIGKILL as early as the platform may; then calls `then`."""
         run = self.run
         if run.term_us is None and self.alive():
             run.term_us = self.loop.clock.now_us()
             self.signal_process(signal.SIGTERM)
-            self.loop.call_later(TERM_TO_KILL_US, self.kill, run, then)
+            self.loop.call_later(earliest_kill_us([int(self.day.deadline_ms * MS)]), self.kill, run, then)
         elif then is not None:
             then()
 
--- a/lapiswing/lab/soak/records.py
+++ b/lapiswing/lab/soak/records.py
@@ -4,6 +4,14 @@
 from dataclasses import dataclass, field
 
 
+@dataclass(frozen=True)
+class StreamFault:
+    """A fault of one stream: its mode, and the number of the event at which it begins."""
+
+    mode: str
+    at: int
+
+
 @dataclass(eq=False)
 class Attempt:
     """One request that a model server received for a client's call, recorded once it has arrived completely."""
@@ -16,6 +24,8 @@
     ran: bool = False  # it may have taken effect
     end_us: int | None = None
     sent: bytearray = field(default_factory=bytearray)  # bytes of the answer stream written so far
+    stream_fault: StreamFault | None = None
+    spoilt_us: int | None = None  # since when its stream is spoilt
     completed_us: int | None = None  # when the last byte of the stream was written
     event_ends: list = field(default_factory=list)  # (time written, length of the stream by then)
 
@@ -87,6 +97,8 @@
     """All records of one run of the soak."""
 
     seed: int
+    deadline_ms: float = 3000.0  # the longest of its clients
+    crowded: bool = False  # whether clients that stop or go slowly are there all day
     calls: dict = field(default_factory=dict)  # rid -> Call
     attempts: list = field(default_factory=list)
     states: list = field(default_factory=list)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -100,6 +100,29 @@
     call.failed, call.final_answers = "body", 0
 
 
+def cut_while_written(day, call):
+    """The server would have gone on: nothing was spoilt, and its last event was 1 s ago."""
+    cut(day, call)
+    call.end_us, day.attempts[1].completed_us = SENT + 1100 * MS, None
+
+
+def left_waiting(day, call):
+    cut(day, call)
+    call.end_us = SENT + 6 * S
+    day.attempts[1].completed_us, day.attempts[1].spoilt_us = None, SENT + 110 * MS
+
+
+def left_waiting_until_it_gave_up(day, call):
+    left_waiting(day, call)
+    call.failed = "nothing"
+
+
+def unanswered_at_the_kill(day, call):
+    lost(day, call)
+    day.processes[0].term_us, day.processes[0].killed_us = SENT - 800 * MS, SENT + 100 * MS
+    call.reused_connection = True
+
+
 def changed(day, call):
     call.body += b"more"
 
@@ -178,6 +201,10 @@
     late: "late",
     two_answers: "answered",
     cut: "cut",
+    cut_while_written: "cut",
+    left_waiting: "left waiting",
+    left_waiting_until_it_gave_up: "left waiting",
+    unanswered_at_the_kill: "lost",
     changed: "changed",
     held_up: "held up",
     twice: "twice",
@@ -208,6 +235,16 @@
     assert BREACHES[breach] in {violation.rule for violation in judge(day)}
 
 
+@pytest.mark.parametrize("spoilt", [True, False])
+def test_a_stream_that_brings_nothing_may_be_ended(spoilt):
+    day, call = good_day()
+    cut(day, call)
+    attempt = day.attempts[1]
+    attempt.completed_us, attempt.spoilt_us = None, SENT + 110 * MS if spoilt else None
+    call.end_us = SENT + (200 * MS if spoilt else 4800 * MS)
+    assert judge(day) == []
+
+
 def test_a_fault_in_a_log_is_a_violation(tmp_path):
     day, _ = good_day()
     log = tmp_path / "log"
