--- a/lapiswing/lab/soak/day.py
+++ b/lapiswing/lab/soak/day.py
@@ -39,10 +39,10 @@
 )
 
 
-def ports_of(seed, count):
-    """Ports below the kernel's ephemeral range and different for each day that runs in parallel, since a restarted gateway needs
+def ports_of(process, count):
+    """Ports below the kernel's ephemeral range and different for each process that plays a day, since a restarted gateway needs
     its port again."""
-    first = FIRST_PORT + seed % PARALLEL_DAYS * PORTS_PER_DAY
+    first = FIRST_PORT + process % PARALLEL_DAYS * PORTS_PER_DAY
     return list(range(first, first + count))
 
 
@@ -54,7 +54,7 @@
         self.loop = Loop(Clock())
         self.day = Day(seed, DEADLINES_MS[seed % len(DEADLINES_MS)], seed % CROWDED_EVERY == 0)
         self.platform = SoakPlatform(self.loop, ROLES, gateways, self.day, self.rng)
-        ports = ports_of(seed, gateways)
+        ports = ports_of(os.getpid(), gateways)
         self.gateways = [
             GatewayProcess(self.loop, self.day, i, gateways, ports[i], self.platform.agents[i], folder, seed * 100 + i)
             for i in range(gateways)
