--- a/lapiswing/gateway/fronts/mapping.py
+++ b/lapiswing/gateway/fronts/mapping.py
@@ -5,7 +5,7 @@
 import re
 
 from lapiswing.chat import InvalidCall, estimate_prompt_tokens
-from lapiswing.gateway.core import Spec
+from lapiswing.gateway.request import Spec
 from lapiswing.routing.names import bounded_name
 
 MS = 1000
--- a/lapiswing/node/front.py
+++ b/lapiswing/node/front.py
@@ -5,8 +5,8 @@
 
 import orjson
 
-from lapiswing.gateway.core import Spec
 from lapiswing.gateway.fronts.listener import Listener
+from lapiswing.gateway.request import Spec
 from lapiswing.node.names import (
     CHAT_PATH,
     DEADLINE,
@@ -110,7 +110,7 @@
         listener.attach(self.core, self.core.submit(spec, listener))
 
     def spec(self, exchange):
-        """-> gateway.core.Spec. Raises RequestError."""
+        """-> gateway.request.Spec. Raises RequestError."""
         fields = exchange.fields
         rid = single_value(fields, ID)
         if rid is None or not RID.fullmatch(rid):
--- a/lapiswing/state/memory.py
+++ b/lapiswing/state/memory.py
@@ -10,7 +10,7 @@
 
 
 class RestoredAnswer:
-    """A complete answer from the store; has the attributes of `gateway.core.Answer` that a replay needs."""
+    """A complete answer from the store; has the attributes of `gateway.request.Answer` that a replay needs."""
 
     def __init__(self, payloads):
         self.assembler, self.events, self.size = Assembler(), [], sum(map(len, payloads))
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -264,7 +264,7 @@
 def test_large_snapshot_is_built_in_slices(admin_site):
     """With 5,000 open requests a snapshot must not hold up any turn of the loop for long."""
     core = admin_site.site.core
-    from lapiswing.gateway.core import Req
+    from lapiswing.gateway.request import Req
 
     spec = None
     admin_site.call()
