--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -1,9 +1,11 @@
 """How a stream that has begun comes to its end, by what its server sends or withholds: docs/endings.md has the whole table."""
 
+import copy
 from dataclasses import dataclass
 
+import pytest
 from gateway_process import GatewayProgram
-from platform_harness import PlatformHarness
+from platform_harness import SETTINGS, PlatformHarness
 
 from lapiswing.http1.client import READ_BYTES
 from lapiswing.standin.platform import ModelServer
@@ -136,8 +138,27 @@
         return len(self.ended_us)
 
 
-def test_a_client_is_not_left_waiting_on_a_stream_that_brings_no_more_events(tmp_path):
-    with PlatformHarness(tmp_path, ("both",) * 4) as harness, GatewayProgram(harness, tmp_path):
+def settings_with(effect, cancel, resume):
+    settings = copy.deepcopy(SETTINGS)
+    settings["Classes"][0]["Effect"] = effect
+    settings["Limits"]["Cancel"] = cancel
+    settings["FamilyInfo"]["Resume"] = resume
+    return settings
+
+
+SITES = {
+    "repeatable, with cancel": settings_with("retryable", True, False),
+    "not repeatable, resumed by clients": settings_with("fragile", False, True),
+}
+
+
+@pytest.fixture(params=SITES)
+def site(request):
+    return SITES[request.param]
+
+
+def test_a_client_is_not_left_waiting_on_a_stream_that_brings_no_more_events(tmp_path, site):
+    with PlatformHarness(tmp_path, ("both",) * 4, settings=site) as harness, GatewayProgram(harness, tmp_path):
         script = Script(harness, NOTHING_MORE)
         script.play(9 * S)
         limit_us = CLIENT_WAIT_US + SOCKET_SLACK_US
@@ -146,8 +167,8 @@
         assert not late and not whole
 
 
-def test_a_stream_that_is_written_slowly_is_not_cut(tmp_path):
-    with PlatformHarness(tmp_path, ("both",) * 4) as harness, GatewayProgram(harness, tmp_path):
+def test_a_stream_that_is_written_slowly_is_not_cut(tmp_path, site):
+    with PlatformHarness(tmp_path, ("both",) * 4, settings=site) as harness, GatewayProgram(harness, tmp_path):
         script = Script(harness, WRITTEN_SLOWLY)
         script.play(9 * S)
         assert not [name for name, client in script.clients.items() if client.truncated]
