--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -291,7 +291,7 @@
 
 @pytest.mark.parametrize("seed", [5, 7, 8, 10])
 def test_a_short_day_with_real_processes(tmp_path, seed):
-    """The longest deadline is 1.5, 0.5, 3 and 1.5 s, the first and the last day have a crowd, and in the third lists are asked for."""
+    """The longest deadline is 1.5, 0.5, 3 and 1.5 s. The first and the last have a crowd; in the third lists are asked for."""
     day = DayRunner(seed, SHORT_DAY_S, 4, str(tmp_path)).play()
     assert len(day.processes) >= 4 and len(day.calls) > 20 and len(day.troubles) >= 2
     assert day.crowded == (seed % 5 == 0)
