A usual stream is not cut because spoilt ones use up the memory for parts of events

A stream that comes in pieces was ended when other attempts had filled what all may keep together: the one that asks last was cut, for twenty bytes of an event. Each attempt has 4 KiB beside that sum now. Test seen failing: test_a_usual_stream_in_pieces_is_not_cut_while_others_use_up_the_memory.

--- a/lapiswing/engine/attempt.py
+++ b/lapiswing/engine/attempt.py
@@ -1,5 +1,7 @@
 """The part of an attempt that does not depend on the protocol: pausing, cancelling and ending it."""
 
+UNCOUNTED_BYTES = 4096  # each attempt may keep this much, whatever the others do
+
 
 class HttpAttempt:
     """An attempt that is one exchange of the HTTP pool. Subclasses set `exchange`, and the code, remark and load report
@@ -18,6 +20,7 @@
 
     def count_kept(self, size):
         """This attempt now keeps `size` bytes. Breaks it off if all attempts together keep too much."""
+        size = max(0, size - UNCOUNTED_BYTES)
         more = size - self.kept_bytes
         if more > 0 and not self.budget.take(more):
             return self.break_off("reset", "answers without an event use up their memory")
--- a/tests/test_input_memory.py
+++ b/tests/test_input_memory.py
@@ -152,6 +152,25 @@
         assert kept.used == 0
 
 
+def test_a_usual_stream_in_pieces_is_not_cut_while_others_use_up_the_memory(tmp_path):
+    """A part of an event is small; its stream was cut because spoilt ones had taken all that there is for parts."""
+    with PlatformHarness(tmp_path, roles=("both", "both")) as harness:
+        server, other = harness.platform.servers.values()
+        kept = harness.node.servers.kept
+        parts = [server.event(0)[:20], server.event(0)[20:] + b"data: [DONE]\n\n"]
+
+        def send_in_parts(exchange):
+            exchange.begin(200, [])
+            exchange.send(server.event(0) + parts[0])
+            harness.loop.call_later(100_000, lambda: (exchange.send(parts[1]), exchange.end()))
+            return True
+
+        server.fault = other.fault = send_in_parts
+        kept.limit = 0  # as if other attempts had taken it all
+        client = harness.ask("a1").wait_answer()
+        assert client.status == 200 and not client.truncated
+
+
 def test_incomplete_messages_of_sessions_are_bounded():
     with GatewaySite() as site:
         budget = site.gateway.sessions.partial_messages
