With the shortest deadlines half a request is answered before the gateway exits

With a deadline of 0.2 s the time of open connections and that of the port end together, 0.45 s after SIGTERM; the port's came first, found nothing that it had to wait for, and the program ended over half a request without an answer. Their order is fixed now. Test seen failing: test_half_a_request_whose_client_still_sends_is_answered_before_the_exit (no byte came). The parts of the memory are plain fields.

--- a/lapiswing/node/memory_parts.py
+++ b/lapiswing/node/memory_parts.py
@@ -8,11 +8,6 @@
 BYTES_PER_KB = 1024
 MEMORY_FILE = Path("/proc/self/statm")  # its second figure: resident pages
 MIN_FREE_PART = 8  # of the limit: so much is used for peers even where the program itself takes almost all
-UNFINISHED_PART = 8  # incomplete requests
-OPEN_BODIES_PART = 4  # bodies of open requests
-PIPELINED_PART = 32  # input behind open requests
-SERVER_ANSWERS_PART = 8  # of servers' answers that can't be passed on yet
-CLIENT_ANSWERS_PART = 8  # of answers that clients have not read
 
 
 def own_bytes():
@@ -25,31 +20,16 @@
 
 @dataclass(frozen=True)
 class MemoryParts:
-    """`limit_bytes`: over which the process is killed; `own_bytes`: what it uses with nothing kept for peers."""
-
-    limit_bytes: int
-    own_bytes: int
-
-    @property
-    def free_bytes(self):
-        return max(self.limit_bytes - self.own_bytes, self.limit_bytes // MIN_FREE_PART)
-
-    @property
-    def unfinished_bytes(self):
-        return self.free_bytes // UNFINISHED_PART
-
-    @property
-    def open_bodies_bytes(self):
-        return self.free_bytes // OPEN_BODIES_PART
-
-    @property
-    def pipelined_bytes(self):
-        return self.free_bytes // PIPELINED_PART
-
-    @property
-    def server_answers_bytes(self):
-        return self.free_bytes // SERVER_ANSWERS_PART
-
-    @property
-    def client_answers_bytes(self):
-        return self.free_bytes // CLIENT_ANSWERS_PART
+    """Bytes that may be kept for all peers together."""
+
+    unfinished_bytes: int  # of incomplete requests
+    open_bodies_bytes: int  # bodies of open requests
+    pipelined_bytes: int  # of input behind open requests
+    server_answers_bytes: int  # of servers' answers that can't be passed on yet
+    client_answers_bytes: int  # of answers that clients have not read
+
+    @classmethod
+    def of(cls, limit_bytes, own_bytes):
+        """`limit_bytes`: over which the process is killed; `own_bytes`: what it uses with nothing kept for peers."""
+        free_bytes = max(limit_bytes - own_bytes, limit_bytes // MIN_FREE_PART)
+        return cls(free_bytes // 8, free_bytes // 4, free_bytes // 32, free_bytes // 8, free_bytes // 8)
--- a/lapiswing/node/serve.py
+++ b/lapiswing/node/serve.py
@@ -90,7 +90,7 @@
         limits, sockets = settings["limits"], min(self.config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         # As many connections to servers as clients usually have open requests, plus some for releases and idle connections.
         server_connections = sockets * 3 // 8
-        memory = MemoryParts(int(self.config.limits.memory_mb * BYTES_PER_MB), own_bytes())
+        memory = MemoryParts.of(int(self.config.limits.memory_mb * BYTES_PER_MB), own_bytes())
         self.max_clients = sockets - server_connections - RESERVED_DESCRIPTORS
         idle_us = limits.get("conn_idle_us") or 10_000 * MS
         self.pool = Pool(
@@ -326,8 +326,9 @@
         # Open connections are told to close in the answer to their next request, with a retry-after time. If they were
         # closed at once, their clients would connect to other gateways, one of which may just be starting.
         self.server.closing = True
-        self.loop.call_later(ACCEPT_AFTER_STOP_US, self.close_port)
+        # In this order: where both are due at once, half requests are answered before `finish` looks.
         self.loop.call_later(self.keep_alive_us, self.server.drain, "the gateway stops")
+        self.loop.call_later(ACCEPT_AFTER_STOP_US, self.close_port)
 
     def close_port(self):
         """Accepts what has connected by now and closes the port."""
--- a/tests/test_shutdown_times.py
+++ b/tests/test_shutdown_times.py
@@ -4,6 +4,7 @@
 
 import pytest
 from platform_harness import BODY, SETTINGS, PlatformHarness, head
+from test_closing import read_to_end
 
 from lapiswing.admission.shutdown import LAST_ANSWERS_US, earliest_kill_us
 
@@ -36,6 +37,26 @@
         assert half.status in (408, 503)
 
 
+def test_half_a_request_whose_client_still_sends_is_answered_before_the_exit(tmp_path):
+    """Where its time and the port's end together, the program ended first."""
+    with PlatformHarness(tmp_path, ("both",), settings=settings_with(200.0)) as harness:
+        half = harness.client(head("a1", Content_Length="200000") + b"x" * 1000)
+        harness.until(lambda: harness.node.server.account.unfinished_bytes)
+        stopped = []
+        harness.loop.stop = lambda: stopped.append(harness.node.server.close())
+
+        def send_more():
+            if not stopped and not half.closed:
+                half.sock.send(b"x" * 100)
+                harness.loop.call_later(20 * MS, send_more)
+
+        send_more()
+        harness.node.stop()
+        got, clean = read_to_end(half.sock, lambda: harness.loop.turn(1000))
+        half.closed = True
+        assert int(got[9:12]) == 503 and clean
+
+
 def test_open_connections_are_served_as_long_as_the_kill_allows(tmp_path):
     """Closed at once, their clients would all come to gateways that may just be starting."""
     with PlatformHarness(tmp_path, ("both",), settings=settings_with(1500.0)) as harness:
