A stream with a single empty line between its events is not cut

A fault of the mend of spoilt streams, found on reading it again: an empty line that came alone was taken for what can't begin an event. (With parts 30 ms apart it failed only where the test's own loop did not write several at once.)

--- a/lapiswing/node/servers.py
+++ b/lapiswing/node/servers.py
@@ -159,8 +159,9 @@
 
 
 def may_begin_block(data):
-    """Whether a block of an event stream may begin so."""
-    return any(data.startswith(start) or start.startswith(data) for start in LINE_STARTS)
+    """Whether a block of an event stream may begin so. Empty lines may stand before it."""
+    line = data.lstrip(b"\n")
+    return any(line.startswith(start) or start.startswith(line) for start in LINE_STARTS)
 
 
 class ControlCall:
--- a/tests/test_stream_ends.py
+++ b/tests/test_stream_ends.py
@@ -76,6 +76,12 @@
     ],
     "a pause before the last chunk": [Part(OPENING + chunk(DONE)), Part(LAST_CHUNK, 4 * S)],
     "comments between events": [Part(OPENING), Part(chunk(b": x\n\n"), 200 * MS, 20), Part(chunk(EVENT + DONE) + LAST_CHUNK)],
+    "single empty lines": [
+        Part(OPENING + chunk(b"\n")),
+        Part(chunk(b"\n"), HALF_S, 3),
+        Part(chunk(b"\n" + EVENT), HALF_S),
+        Part(chunk(DONE) + LAST_CHUNK, SOON),
+    ],
     "single bytes": [Part(OPENING), *[Part(bytes([b]), 20 * MS) for b in chunk(EVENT) + chunk(DONE) + LAST_CHUNK]],
     "a long answer in chunks of one byte": [
         Part(OPENING + b"".join(chunk(bytes([byte])) for byte in EVENT * 600)),
